--- /dev/null
+++ b/src/bin/nickelshed/notices.rs
@@ -0,0 +1,75 @@
+//! Notices to the platform: how messages ended that were taken on and not delivered.
+use crate::client::{self, Connection};
+use crate::core::Input;
+use crate::journal::Ending;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+pub struct Notice {
+    pub id: u64,
+    pub trace: String,
+    pub ending: Ending,
+}
+
+/// Notices in one post at most: with the longest ids that are taken on the body stays under 64 KiB.
+const MOST: usize = 100;
+/// How long the platform may take to answer, and the pause before a post is repeated.
+const ANSWER: Duration = Duration::from_secs(1);
+const PAUSE: Duration = Duration::from_millis(100);
+
+fn line(notice: &Notice) -> String {
+    let line = match notice.ending {
+        Ending::GivenUp => json!({"message": notice.trace, "outcome": "given_up"}),
+        Ending::HandedBack(None) => json!({"message": notice.trace, "outcome": "handed_back"}),
+        Ending::HandedBack(Some(ms)) => {
+            json!({"message": notice.trace, "outcome": "handed_back", "retry_in_ms": ms})
+        }
+    };
+    format!("{line}\n")
+}
+
+async fn post(connection: &mut Option<Connection>, at: SocketAddr, body: &str) -> Result<(), String> {
+    let kept = Connection::kept_or_new(connection, at, ANSWER).await;
+    let mut link = kept.map_err(|e| e.to_string())?;
+    let headers = [("content-type", "application/x-ndjson")];
+    let request = client::request("POST", "/reports", at, &headers, body.to_string().into());
+    let (status, ..) = link.exchange(request, client::MAX_BODY).await.map_err(|e| e.to_string())?;
+    *connection = Some(link);
+    if status == 204 {
+        Ok(())
+    } else {
+        Err(format!("answered {status}"))
+    }
+}
+
+/// Posts what the core hands over and tells it what was answered for. A post is repeated until then, as each
+/// of its messages is owed its end; a notice that comes twice does no harm.
+pub async fn run(at: SocketAddr, mut notices: mpsc::UnboundedReceiver<Notice>, core: mpsc::Sender<Input>) {
+    let mut connection = None;
+    let mut failing = false;
+    let mut batch = Vec::new();
+    while notices.recv_many(&mut batch, MOST).await > 0 {
+        let body: String = batch.iter().map(line).collect();
+        loop {
+            match timeout(ANSWER, post(&mut connection, at, &body)).await.unwrap_or(Err("is silent".into())) {
+                Ok(()) => break,
+                Err(error) => {
+                    if !std::mem::replace(&mut failing, true) {
+                        tracing::warn!(%error, notices = batch.len(), "the platform takes no notices");
+                    }
+                    sleep(PAUSE).await;
+                }
+            }
+        }
+        if std::mem::take(&mut failing) {
+            tracing::info!("the platform takes notices again");
+        }
+        let ids = batch.drain(..).map(|n| n.id).collect();
+        if core.send(Input::Noticed(ids)).await.is_err() {
+            return;
+        }
+    }
+}
