--- a/src/bin/nickelshed/client.rs
+++ b/src/bin/nickelshed/client.rs
@@ -29,6 +29,11 @@
 pub const MAX_BODY: usize = 64 << 10;
 /// How long the rest of an answer whose outcome is known may take before its connection is given up.
 const TAIL: Duration = Duration::from_millis(100);
+/// A call on a kept connection that breaks within this time of its write met an end that had closed already:
+/// the reset takes a round trip, an answer takes the call's work as well.
+const RESET: Duration = Duration::from_millis(20);
+/// A connection that ends sooner than this after an answer did not end for standing idle.
+const LEAST_KEEP: Duration = Duration::from_millis(50);
 
 /// Counts what is written, as the library does not tell whether a failed request had left.
 struct Written {
@@ -87,6 +92,8 @@
     task: JoinHandle<()>,
     written: Rc<Cell<u64>>,
     idle_since: Instant,
+    /// How long it had stood idle before the call under way; None on a new connection.
+    stood: Option<Duration>,
     _counted: Option<Counted>,
 }
 
@@ -109,7 +116,7 @@
                 tracing::debug!(%error, "a connection broke");
             }
         });
-        Ok(Connection { sender, task, written, idle_since: Instant::now(), _counted: None })
+        Ok(Connection { sender, task, written, idle_since: Instant::now(), stood: None, _counted: None })
     }
 
     /// The connection that was kept from the exchange before, if it still stands.
@@ -224,6 +231,12 @@
     rest: Option<Incoming>,
 }
 
+/// How long connections to an endpoint may stand idle, as far as it is seen to be less than the settings say.
+struct Keep {
+    bound: Duration,
+    since: Instant,
+}
+
 pub struct Client {
     core: mpsc::Sender<Input>,
     dial: Duration,
@@ -232,6 +245,7 @@
     most: usize,
     open: Rc<Cell<usize>>,
     pool: RefCell<HashMap<EndpointId, Vec<Connection>>>,
+    keeps: RefCell<HashMap<EndpointId, Keep>>,
     places: RefCell<HashMap<EndpointId, Place>>,
     waits: RefCell<HashMap<(DestId, Option<EndpointId>), Instant>>,
 }
@@ -247,6 +261,7 @@
             most,
             open: Rc::default(),
             pool: RefCell::default(),
+            keeps: RefCell::default(),
             places: RefCell::default(),
             waits: RefCell::default(),
         }
@@ -283,8 +298,8 @@
         loop {
             every.tick().await;
             let now = Instant::now();
-            self.pool.borrow_mut().retain(|_, links| {
-                links.retain(|l| l.is_open() && now - l.idle_since < self.idle);
+            self.pool.borrow_mut().retain(|&endpoint, links| {
+                links.retain(|l| self.may_reuse(endpoint, l, now));
                 !links.is_empty()
             });
             self.waits.borrow_mut().retain(|_, until| *until > now);
@@ -310,7 +325,42 @@
         let now = Instant::now();
         let mut pool = self.pool.borrow_mut();
         let links = pool.get_mut(&endpoint)?;
-        std::iter::from_fn(|| links.pop()).find(|l| l.is_open() && now - l.idle_since < self.idle)
+        let mut link = std::iter::from_fn(|| links.pop()).find(|l| self.may_reuse(endpoint, l, now))?;
+        link.stood = Some(now - link.idle_since);
+        Some(link)
+    }
+
+    fn may_reuse(&self, endpoint: EndpointId, link: &Connection, now: Instant) -> bool {
+        let stood = now - link.idle_since;
+        if !link.is_open() {
+            self.ended_idle(endpoint, stood);
+            return false;
+        }
+        stood < self.keep(endpoint, now)
+    }
+
+    /// How long a connection there may stand idle. What was seen to be too long is tried again in time: the
+    /// bound doubles with each span in which the settings' figure would have passed without such an end.
+    fn keep(&self, endpoint: EndpointId, now: Instant) -> Duration {
+        let keeps = self.keeps.borrow();
+        let Some(keep) = keeps.get(&endpoint) else { return self.idle };
+        let doublings = (now - keep.since).as_secs_f64() / self.idle.as_secs_f64().max(1e-3);
+        keep.bound.mul_f64(doublings.floor().min(30.0).exp2()).min(self.idle)
+    }
+
+    /// The far side or something between ended a connection that had stood idle so long. The settings' figure
+    /// is only the latest, and a call written after such an end is lost, so the next stand half as long.
+    fn ended_idle(&self, endpoint: EndpointId, stood: Duration) {
+        let now = Instant::now();
+        let known = self.keep(endpoint, now);
+        if stood < LEAST_KEEP {
+            return;
+        }
+        let bound = (stood / 2).max(LEAST_KEEP).min(known);
+        if bound < known {
+            tracing::debug!(endpoint, ?stood, ?bound, "a kept connection had ended");
+        }
+        self.keeps.borrow_mut().insert(endpoint, Keep { bound, since: now });
     }
 
     /// Frees the place of the connection that has stood idle longest.
@@ -431,10 +481,17 @@
             };
             match answer {
                 // The pooled connection had ended: nothing was written, so another one may carry it.
-                Err(Fault::Unsent) => drop(link),
+                Err(Fault::Unsent) => {
+                    self.ended_idle(endpoint, link.stood.unwrap_or_default());
+                    drop(link);
+                }
                 Err(fault) => {
+                    let (stood, after) = (link.stood, now.elapsed());
+                    tracing::debug!(%fault, endpoint, ?stood, ?after, "no answer");
+                    if let Some(stood) = stood.filter(|_| after < RESET) {
+                        self.ended_idle(endpoint, stood);
+                    }
                     link.close().await;
-                    tracing::debug!(%fault, "no answer");
                     let outcome = match fault {
                         Fault::Broken(_) => Outcome::ConnectionLost,
                         _ => Outcome::NoConnection,
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -3,10 +3,11 @@
 use base64::Engine;
 use peers::*;
 use serde_json::{json, Value};
+use std::collections::HashMap;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// The first call gets `first`, all others 200.
@@ -59,6 +60,30 @@
     assert!(discovery.notices().is_empty());
 }
 
+#[test]
+fn a_connection_stands_idle_no_longer_than_its_endpoint_was_seen_to_keep_it() {
+    // It forgets a connection that has stood longer, and resets what then comes on it.
+    const KEPT: Duration = Duration::from_millis(150);
+    let used = Mutex::new(HashMap::new());
+    let endpoint = Peer::new(move |r| match used.lock().unwrap().insert(r.connection, r.at) {
+        Some(before) if r.at - before > KEPT => Reply::Close,
+        _ => ok(),
+    });
+    let (discovery, node) = one_endpoint(&endpoint);
+    assert_eq!(node.hand_in("alert", "first", 7, 16_000, b"x"), 202);
+    let first = endpoint.wait_for("first", 1).remove(0);
+    std::thread::sleep(2 * KEPT);
+    assert_eq!(node.hand_in("alert", "lost", 7, 16_000, b"x"), 202);
+    let lost = endpoint.wait_for("lost", 2);
+    assert_eq!(lost[0].connection, first.connection);
+    // As long once more: an unsafe message must not meet the same end.
+    std::thread::sleep(lost[0].at - first.at);
+    assert_eq!(node.hand_in("order", "unsafe", 7, 16_000, b"x"), 202);
+    assert_ne!(endpoint.wait_for("unsafe", 1)[0].connection, lost[1].connection);
+    settle(&node, &endpoint);
+    assert!(discovery.notices().is_empty());
+}
+
 #[test]
 fn what_never_ran_goes_again_even_if_unsafe() {
     let rows: [Row; 4] = [
