--- a/src/rules.rs
+++ b/src/rules.rs
@@ -506,7 +506,9 @@
         }
         let sick = route.failures >= DOUBT_RUN || route.failing > DOUBT_SHARE;
         route.doubt |= sick;
-        if told && (sick || route.cold) {
+        // Single failures on the way up are no outage: were each to start the ramp anew, a route that loses one
+        // call in twenty would never be warm again.
+        if told && sick {
             route.cold = true;
             route.last_failure = self.now;
         }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -414,6 +414,43 @@
     assert!(shed.iter().all(|a| matches!(a, Action::Refuse { id, .. } if *id < 1_000)), "{shed:?}");
 }
 
+#[test]
+fn single_losses_on_the_way_up_do_not_start_the_ramp_anew() {
+    let limit = 40.0;
+    let cfg = Settings { hints: true, max_open: 10_000, ..settings() };
+    let cold = cfg.cold;
+    let mut s = Stand::new(cfg, &[Entry { hint: limit, ..entry(1, 1, 0) }]);
+    let (mut next, mut calls, mut waiting) = (0, 0, Vec::new());
+    let start = s.now;
+    let mut sent = Vec::new();
+    while s.now < start + cold + 4 * SECOND {
+        s.now += 5 * MS;
+        let now = s.now;
+        let (due, rest): (Vec<_>, Vec<_>) = waiting.into_iter().partition(|&(at, _)| at <= now);
+        waiting = rest;
+        let mut events = vec![Event::Timer];
+        for (_, id) in due {
+            calls += 1;
+            // An outage of three calls, then one call in ten is lost, never two together.
+            let outcome =
+                if calls <= 3 || calls % 10 == 0 { Outcome::ConnectionLost } else { Outcome::Served };
+            events.push(Event::AttemptEnd(AttemptEnd { done: true, ..end(id, 0, 1, outcome) }));
+        }
+        if (now - start) % (25 * MS) == 0 {
+            events.push(Event::Message(message(next, 1, 1)));
+            next += 1;
+        }
+        for (id, _) in sends(&s.give(events)) {
+            waiting.push((now + 50 * MS, id));
+            sent.push(now);
+        }
+    }
+    let early = sent.iter().filter(|&&t| t > start + SECOND && t <= start + 3 * SECOND).count();
+    assert!(early < 20, "a ramp after the outage: {early}");
+    let late = sent.iter().filter(|&&t| t > start + cold + 2 * SECOND).count() as f64;
+    assert!(late > 0.9 * limit / 2.0 * 2.0, "its share of the limit again: {late} in two seconds");
+}
+
 #[test]
 fn overdue_calls_that_are_then_served_leave_no_ramp() {
     let mut s = Stand::new(settings(), &[entry(1, 1, 0)]);
