--- a/src/rules.rs
+++ b/src/rules.rs
@@ -455,10 +455,12 @@
                 route.doubt = false;
                 // The share follows what is left of the allowance: others' calls are not seen otherwise.
                 let share = route.share_now(now);
+                // An answer without a report is no news of them: the share goes on growing back.
                 (route.share, route.share_at) = match left {
                     Some(l) if l > 0.5 => ((share * n.powf(RISE)).min(1.0), now - STALE),
                     Some(l) if l < 0.2 => ((share * 0.95).max(0.7 / n), now),
-                    _ => (share, now),
+                    Some(_) => (share, now),
+                    None => (route.share, route.share_at),
                 };
                 false
             }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -414,16 +414,12 @@
     assert!(shed.iter().all(|a| matches!(a, Action::Refuse { id, .. } if *id < 1_000)), "{shed:?}");
 }
 
-#[test]
-fn single_losses_on_the_way_up_do_not_start_the_ramp_anew() {
-    let limit = 40.0;
-    let cfg = Settings { hints: true, max_open: 10_000, ..settings() };
-    let cold = cfg.cold;
-    let mut s = Stand::new(cfg, &[Entry { hint: limit, ..entry(1, 1, 0) }]);
-    let (mut next, mut calls, mut waiting) = (0, 0, Vec::new());
-    let start = s.now;
+/// Hands in a message every `every` and ends each call after 50 ms by `outcome` (of its number, from 1); the
+/// times of the sends.
+fn drive(s: &mut Stand, every: Ns, span: Ns, outcome: impl Fn(u32) -> Outcome) -> Vec<Ns> {
+    let (start, mut next, mut calls, mut waiting) = (s.now, 0, 0, Vec::new());
     let mut sent = Vec::new();
-    while s.now < start + cold + 4 * SECOND {
+    while s.now < start + span {
         s.now += 5 * MS;
         let now = s.now;
         let (due, rest): (Vec<_>, Vec<_>) = waiting.into_iter().partition(|&(at, _)| at <= now);
@@ -431,12 +427,9 @@
         let mut events = vec![Event::Timer];
         for (_, id) in due {
             calls += 1;
-            // An outage of three calls, then one call in ten is lost, never two together.
-            let outcome =
-                if calls <= 3 || calls % 10 == 0 { Outcome::ConnectionLost } else { Outcome::Served };
-            events.push(Event::AttemptEnd(AttemptEnd { done: true, ..end(id, 0, 1, outcome) }));
+            events.push(Event::AttemptEnd(AttemptEnd { done: true, ..end(id, 0, 1, outcome(calls)) }));
         }
-        if (now - start) % (25 * MS) == 0 {
+        if (now - start) % every == 0 {
             events.push(Event::Message(message(next, 1, 1)));
             next += 1;
         }
@@ -445,12 +438,46 @@
             sent.push(now);
         }
     }
+    sent
+}
+
+fn paced(limit: f64) -> (Settings, Stand) {
+    let cfg = Settings { hints: true, max_open: 10_000, ..settings() };
+    (cfg.clone(), Stand::new(cfg, &[Entry { hint: limit, ..entry(1, 1, 0) }]))
+}
+
+#[test]
+fn single_losses_on_the_way_up_do_not_start_the_ramp_anew() {
+    let limit = 40.0;
+    let (cfg, mut s) = paced(limit);
+    let (start, span) = (s.now, cfg.cold + 4 * SECOND);
+    // An outage of three calls, then one call in ten is lost, never two together.
+    let sent = drive(&mut s, 25 * MS, span, |n| match n <= 3 || n % 10 == 0 {
+        true => Outcome::ConnectionLost,
+        false => Outcome::Served,
+    });
     let early = sent.iter().filter(|&&t| t > start + SECOND && t <= start + 3 * SECOND).count();
     assert!(early < 20, "a ramp after the outage: {early}");
-    let late = sent.iter().filter(|&&t| t > start + cold + 2 * SECOND).count() as f64;
+    let late = sent.iter().filter(|&&t| t > start + span - 2 * SECOND).count() as f64;
     assert!(late > 0.9 * limit / 2.0 * 2.0, "its share of the limit again: {late} in two seconds");
 }
 
+#[test]
+fn a_share_cut_by_refusals_grows_back_where_answers_hold_no_reports() {
+    let limit = 40.0;
+    let (_, mut s) = paced(limit);
+    let (start, span) = (s.now, 20 * SECOND);
+    let sent = drive(&mut s, 25 * MS, span, |n| match n {
+        5..=7 => Outcome::TurnedAway,
+        _ => Outcome::Served,
+    });
+    let early = sent.iter().filter(|&&t| t > start + SECOND && t <= start + 5 * SECOND).count() as f64;
+    assert!(early < 4.0 * 0.4 * limit, "less than an equal share at first: {early}");
+    // Nothing refuses any more, so the whole limit may be free.
+    let late = sent.iter().filter(|&&t| t > start + span - 2 * SECOND).count() as f64;
+    assert!(late > 0.9 * 2.0 * limit, "{late} in two seconds");
+}
+
 #[test]
 fn overdue_calls_that_are_then_served_leave_no_ramp() {
     let mut s = Stand::new(settings(), &[entry(1, 1, 0)]);
