--- a/src/bin/nickelshed/client.rs
+++ b/src/bin/nickelshed/client.rs
@@ -35,10 +35,32 @@
 /// A connection that ends sooner than this after an answer did not end for standing idle.
 const LEAST_KEEP: Duration = Duration::from_millis(50);
 
-/// Counts what is written, as the library does not tell whether a failed request had left.
+/// The start of an answer, as far as its first line tells whether it is a 200.
+#[derive(Default)]
+struct FirstLine {
+    bytes: [u8; 13],
+    length: usize,
+}
+
+impl FirstLine {
+    fn push(&mut self, read: &[u8]) {
+        let length = read.len().min(self.bytes.len() - self.length);
+        self.bytes[self.length..][..length].copy_from_slice(&read[..length]);
+        self.length += length;
+    }
+
+    fn says_200(&self) -> bool {
+        let [version @ .., minor, b' ', b'2', b'0', b'0', next] = &self.bytes else { return false };
+        version == b"HTTP/1." && minor.is_ascii_digit() && matches!(next, b' ' | b'\r' | b'\n')
+    }
+}
+
+/// Counts what is written, as the library does not tell whether a failed request had left, and keeps the start
+/// of what is read, as it does not tell either what the first line of an answer said that it can't read.
 struct Written {
     stream: TcpStream,
     written: Rc<Cell<u64>>,
+    first: Rc<RefCell<FirstLine>>,
 }
 
 impl AsyncRead for Written {
@@ -47,7 +69,10 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let done = Pin::new(&mut self.stream).poll_read(cx, buf);
+        self.first.borrow_mut().push(&buf.filled()[before..]);
+        done
     }
 }
 
@@ -91,6 +116,7 @@
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
     written: Rc<Cell<u64>>,
+    first: Rc<RefCell<FirstLine>>,
     idle_since: Instant,
     /// How long it had stood idle before the call under way; None on a new connection.
     stood: Option<Duration>,
@@ -108,7 +134,8 @@
         let stream = timeout(dial, TcpStream::connect(at)).await??;
         stream.set_nodelay(true)?;
         let written = Rc::new(Cell::new(0));
-        let io = TokioIo::new(Written { stream, written: written.clone() });
+        let first = Rc::new(RefCell::default());
+        let io = TokioIo::new(Written { stream, written: written.clone(), first: Rc::clone(&first) });
         let made = http1::Builder::new().title_case_headers(true).handshake(io).await;
         let (sender, connection) = made.map_err(io::Error::other)?;
         let task = tokio::task::spawn_local(async move {
@@ -116,7 +143,15 @@
                 tracing::debug!(%error, "a connection broke");
             }
         });
-        Ok(Connection { sender, task, written, idle_since: Instant::now(), stood: None, _counted: None })
+        Ok(Connection {
+            sender,
+            task,
+            written,
+            first,
+            idle_since: Instant::now(),
+            stood: None,
+            _counted: None,
+        })
     }
 
     /// The connection that was kept from the exchange before, if it still stands.
@@ -143,6 +178,7 @@
 
     async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Fault> {
         let before = self.written.get();
+        self.first.take();
         self.sender.try_send_request(request).await.map_err(|mut e| match e.take_message() {
             Some(_) => Fault::Unsent,
             None if self.written.get() == before => Fault::NeverRan(e.into_error().to_string()),
@@ -473,6 +509,8 @@
             let answer = match answer {
                 Ok(answer) => answer,
                 Err((left, outcome)) => {
+                    let outcome =
+                        if !several && link.first.borrow().says_200() { Outcome::Served } else { outcome };
                     // Closed before it is told: the next attempt of a message that is still out on an open
                     // connection would be a second copy, and the call would still hold its slot.
                     link.close().await;
@@ -491,8 +529,11 @@
                     if let Some(stood) = stood.filter(|_| after < RESET) {
                         self.ended_idle(endpoint, stood);
                     }
+                    // What can't be read may have run, but its first line is true for the one message of a call.
+                    let delivered = !several && link.first.borrow().says_200();
                     link.close().await;
                     let outcome = match fault {
+                        Fault::Broken(_) if delivered => Outcome::Served,
                         Fault::Broken(_) => Outcome::ConnectionLost,
                         _ => Outcome::NoConnection,
                     };
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -60,6 +60,8 @@
 /// What a peer does with a request.
 pub enum Reply {
     Bytes(String),
+    /// The same, and the connection's end after it.
+    Last(String),
     /// Ends the connection without an answer.
     Close,
     /// Never answers, and keeps the connection.
@@ -158,7 +160,7 @@
     let mut writer = stream;
     while let Some(request) = read_message(&mut reader, number) {
         let reply = shared.script.lock().unwrap()(&request);
-        if let Reply::Bytes(bytes) = &reply {
+        if let Reply::Bytes(bytes) | Reply::Last(bytes) = &reply {
             if writer.write_all(bytes.as_bytes()).is_err() {
                 break;
             }
@@ -166,7 +168,7 @@
         // Only now, so that whoever waits for a request knows that its answer is on the way.
         shared.seen.lock().unwrap().push(request);
         shared.news.notify_all();
-        if matches!(reply, Reply::Close) {
+        if matches!(reply, Reply::Close | Reply::Last(_)) {
             return;
         }
     }
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -125,6 +125,34 @@
     }
 }
 
+#[test]
+fn an_answer_that_cannot_be_read_delivers_its_one_message_if_its_first_line_says_200() {
+    let broken: [Row; 3] = [
+        ("length", || Reply::Bytes("HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n".into())),
+        ("header", || Reply::Bytes("HTTP/1.1 200 OK\r\nno header at all\r\n\r\n".into())),
+        ("cut off", || Reply::Last("HTTP/1.1 200 OK\r\nContent-Le".into())),
+    ];
+    for (row, reply) in broken {
+        let endpoint = first_then_ok(reply);
+        let (discovery, node) = one_endpoint(&endpoint);
+        assert_eq!(node.hand_in("alert", "m", 7, 16_000, b"x"), 202);
+        endpoint.wait_for("m", 1);
+        settle(&node, &endpoint);
+        assert_eq!(endpoint.wait_for("m", 1).len(), 1, "{row}: delivered, so not sent again");
+        assert!(discovery.notices().is_empty(), "{row}");
+    }
+    let unreadable: [Row; 2] = [
+        ("status", || Reply::Bytes("HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n".into())),
+        ("version", || Reply::Bytes("ICY 200 OK\r\nContent-Length: 0\r\n\r\n".into())),
+    ];
+    for (row, reply) in unreadable {
+        let endpoint = first_then_ok(reply);
+        let (discovery, node) = one_endpoint(&endpoint);
+        assert_eq!(node.hand_in("order", "m", 7, 16_000, b"x"), 202);
+        assert_eq!(discovery.wait_notice("m")["outcome"], "given_up", "{row}");
+    }
+}
+
 #[test]
 fn a_withdrawn_message_is_over_without_a_notice() {
     one_call_ends_it_for_good(&first_then_ok(|| answer("410 Gone", "", "")), "alert");
