Reload discovery's address on SIGHUP instead of ending

List and notices now move to the address in the file. Without the change the test waits in vain, as the process is gone.

--- a/src/bin/nickelshed/config.rs
+++ b/src/bin/nickelshed/config.rs
@@ -1,4 +1,4 @@
-//! The environment and config.json, read once at the start.
+//! The environment and config.json, read at the start; discovery's address in the file again on SIGHUP.
 use crate::discovery::List;
 use leadfold::api::Settings;
 use leadfold::settings::{self, Around};
@@ -35,19 +35,33 @@
     pub around: Around,
 }
 
-pub fn read() -> Result<Config, String> {
-    let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
+fn var(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|v| !v.is_empty())
+}
+
+fn file() -> Result<(String, File), String> {
     let path = var("EDGE_CONFIG").ok_or("EDGE_CONFIG is not set")?;
     let text = std::fs::read_to_string(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
-    let file: File = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
-    let address = |name: &str, other: Option<String>| {
-        let text = var(name).or(other).ok_or(format!("{name} is not set"))?;
-        text.parse::<SocketAddr>().map_err(|e| format!("{name} is no address: {text}: {e}"))
-    };
+    let file = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
+    Ok((path, file))
+}
+
+fn address(name: &str, text: Option<String>) -> Result<SocketAddr, String> {
+    let text = text.ok_or(format!("{name} is not set"))?;
+    text.parse().map_err(|e| format!("{name} is no address: {text}: {e}"))
+}
+
+/// Where discovery is now. The file goes before the environment, as the platform can only replace the file.
+pub fn discovery() -> Result<SocketAddr, String> {
+    address("EDGE_DISCOVERY", file()?.1.discovery.or_else(|| var("EDGE_DISCOVERY")))
+}
+
+pub fn read() -> Result<Config, String> {
+    let (path, file) = file()?;
     let (settings, around) = settings::read(&file.settings).map_err(|e| format!("{path}: settings: {e}"))?;
     Ok(Config {
-        listen: address("EDGE_LISTEN", file.listen)?,
-        discovery: address("EDGE_DISCOVERY", file.discovery)?,
+        listen: address("EDGE_LISTEN", var("EDGE_LISTEN").or(file.listen))?,
+        discovery: address("EDGE_DISCOVERY", file.discovery.or_else(|| var("EDGE_DISCOVERY")))?,
         state: var("EDGE_STATE").ok_or("EDGE_STATE is not set")?.into(),
         seed: file.seed.as_ref().map_or(0, seed),
         limits: file.limits,
--- a/src/bin/nickelshed/discovery.rs
+++ b/src/bin/nickelshed/discovery.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
 #[derive(Clone, Debug)]
@@ -77,8 +77,21 @@
     Ok(list)
 }
 
-/// Never ends: while discovery is silent the sender goes on with the list it has.
-pub async fn follow(at: SocketAddr, core: mpsc::Sender<Input>) {
+/// Never ends: while discovery is silent the sender goes on with the list it has. At a new address it asks for
+/// the whole list, whatever is under way at the old one.
+pub async fn follow(mut at: watch::Receiver<SocketAddr>, core: mpsc::Sender<Input>) {
+    loop {
+        let address = *at.borrow_and_update();
+        tokio::select! {
+            () = follow_at(address, &core) => return,
+            // An error: no reload can come any more.
+            changed = at.changed() => if changed.is_err() { return follow_at(address, &core).await },
+        }
+    }
+}
+
+/// Ends with the core.
+async fn follow_at(at: SocketAddr, core: &mpsc::Sender<Input>) {
     let mut connection = None;
     let mut known: Option<u64> = None;
     let mut failing = false;
--- a/src/bin/nickelshed/main.rs
+++ b/src/bin/nickelshed/main.rs
@@ -50,6 +50,7 @@
     let mut config = config::read()?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let journal = journal::Journal::open(&config.state, config.limits.disk_mb, config.settings.max_attempts)
         .map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
     let (core_in, inbox) = mpsc::channel(INBOX);
@@ -62,8 +63,20 @@
     let client = client::Client::new(core_in.clone(), settings.dial_timeout, settings.idle_close, calls);
     let client = Rc::new(client);
     spawn_local(client.clone().keep_pool());
-    spawn_local(discovery::follow(config.discovery, core_in.clone()));
-    spawn_local(notices::run(config.discovery, notices, core_in.clone()));
+    let (move_to, discovery) = watch::channel(config.discovery);
+    spawn_local(discovery::follow(discovery.clone(), core_in.clone()));
+    spawn_local(notices::run(discovery, notices, core_in.clone()));
+    spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            match config::discovery() {
+                Ok(at) => {
+                    tracing::info!(discovery = %at, "reloaded");
+                    move_to.send_replace(at);
+                }
+                Err(error) => tracing::warn!(%error, "cannot reload; going on as before"),
+            }
+        }
+    });
     let (listen, known) = (config.listen, std::mem::take(&mut config.known));
     let around = config.around.clone();
     let effects = settings.classes.iter().map(|c| c.effect).collect();
--- a/src/bin/nickelshed/notices.rs
+++ b/src/bin/nickelshed/notices.rs
@@ -5,7 +5,7 @@
 use serde_json::json;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
 pub struct Notice {
@@ -47,14 +47,26 @@
 
 /// Posts what the core hands over and tells it what was answered for. A post is repeated until then, as each
 /// of its messages is owed its end; a notice that comes twice does no harm.
-pub async fn run(at: SocketAddr, mut notices: mpsc::UnboundedReceiver<Notice>, core: mpsc::Sender<Input>) {
+/// Each try goes to where discovery is by then.
+pub async fn run(
+    mut at: watch::Receiver<SocketAddr>,
+    mut notices: mpsc::UnboundedReceiver<Notice>,
+    core: mpsc::Sender<Input>,
+) {
     let mut connection = None;
     let mut failing = false;
     let mut batch = Vec::new();
     while notices.recv_many(&mut batch, MOST).await > 0 {
         let body: String = batch.iter().map(line).collect();
         loop {
-            match timeout(ANSWER, post(&mut connection, at, &body)).await.unwrap_or(Err("is silent".into())) {
+            if at.has_changed().unwrap_or(false) {
+                connection = None;
+            }
+            let address = *at.borrow_and_update();
+            match timeout(ANSWER, post(&mut connection, address, &body))
+                .await
+                .unwrap_or(Err("is silent".into()))
+            {
                 Ok(()) => break,
                 Err(error) => {
                     if !std::mem::replace(&mut failing, true) {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -377,9 +377,17 @@
         child.wait().unwrap();
     }
 
-    pub fn terminate(&mut self) {
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    pub fn hang_up(&self) {
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, which: &str) {
         let id = self.child.as_ref().unwrap().id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        assert!(Command::new("kill").args([which, &id]).status().unwrap().success());
     }
 
     pub fn wait_exit(&mut self) -> ExitStatus {
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -659,6 +659,29 @@
     assert!(node.is_running());
 }
 
+#[test]
+fn sighup_moves_the_list_and_the_notices_to_the_address_in_the_file() {
+    let endpoint = Peer::new(|_| ok());
+    let (old, new) = (Discovery::new(json!([])), Discovery::new(json!([ready("e-1", endpoint.address, 7)])));
+    let mut node = Node::start(&old);
+    // A file that can't be read changes nothing.
+    std::fs::write(node.folder.join("config.json"), "{").unwrap();
+    node.hang_up();
+    node.until("the reload has failed", || node.log().contains("cannot reload"));
+    assert!(node.is_running());
+    node.config["discovery"] = json!(new.peer.address.to_string());
+    std::fs::write(node.folder.join("config.json"), node.config.to_string()).unwrap();
+    // A watch at the old address that is never answered must not hold it up.
+    old.silence();
+    node.hang_up();
+    assert_eq!(node.hand_in("order", "m", 7, 16_000, b"x"), 202);
+    endpoint.wait_for("m", 1);
+    assert_eq!(node.hand_in("order", "nowhere", 8, 300, b"x"), 202);
+    assert_eq!(new.wait_notice("nowhere")["outcome"], "handed_back");
+    assert!(old.notices().is_empty());
+    assert!(node.is_running());
+}
+
 #[test]
 fn malformed_input_is_answered_and_harms_nothing() {
     let endpoint = Peer::new(|_| ok());
