Close connections in time that bring no whole request

The first whole request must now come within 2.5 s; clients that have brought one may idle as before.

--- a/src/bin/nickelshed/server.rs
+++ b/src/bin/nickelshed/server.rs
@@ -18,10 +18,12 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch, Notify};
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 
-/// How long a request may take to come in, and how long a connection may stand idle.
-const BODY_PATIENCE: Duration = Duration::from_secs(5);
+/// How long a connection may take to bring its first whole request, and a later request to bring its body:
+/// strangers are owed an error or a close within 3 s.
+const PATIENCE: Duration = Duration::from_millis(2_500);
+/// How long a connection may stand idle that has brought one.
 const IDLE: Duration = Duration::from_secs(75);
 const MAX_NAME: usize = 256;
 
@@ -70,13 +72,17 @@
 
     async fn serve(self: Rc<Self>, stream: TcpStream, full: bool, mut closing: watch::Receiver<bool>) {
         let _ = stream.set_nodelay(true);
+        let accepted = Instant::now();
+        let whole = Rc::new(Cell::new(false));
         let used = Rc::new(Cell::new(Instant::now()));
         let busy = Rc::new(Cell::new(0u32));
         let service = service_fn(|request| {
-            let (server, used, busy) = (self.clone(), used.clone(), busy.clone());
+            let (server, used, busy, whole) = (self.clone(), used.clone(), busy.clone(), whole.clone());
             async move {
                 busy.set(busy.get() + 1);
-                let mut response = if full { refused(None) } else { server.answer(request).await };
+                let since = if whole.replace(true) { Instant::now() } else { accepted };
+                let mut response =
+                    if full { refused(None) } else { server.answer(request, since + PATIENCE).await };
                 if full {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
@@ -89,7 +95,7 @@
             hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
         let mut ending = false;
-        let mut idle = IDLE;
+        let mut idle = PATIENCE;
         loop {
             tokio::select! {
                 _ = connection.as_mut() => return,
@@ -99,17 +105,18 @@
                 }
                 () = sleep(idle) => {
                     // Also one that opens a request and never ends it.
+                    let bound = if whole.get() { IDLE } else { PATIENCE };
                     let stood = used.get().elapsed();
-                    if busy.get() == 0 && stood >= IDLE {
+                    if busy.get() == 0 && stood >= bound {
                         return;
                     }
-                    idle = IDLE.saturating_sub(stood).max(Duration::from_secs(1));
+                    idle = bound.saturating_sub(stood).max(Duration::from_secs(1));
                 }
             }
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn answer(&self, request: Request<Incoming>, body_by: Instant) -> Response<Full<Bytes>> {
         let (head, body) = request.into_parts();
         let path = head.uri.path();
         if path == "/healthz" {
@@ -132,7 +139,7 @@
         };
         let end = Instant::now() + left;
         taken.end = crate::journal::wall_ms() + left.as_millis() as i64;
-        taken.body = match timeout(BODY_PATIENCE, Limited::new(body, MAX_BODY).collect()).await {
+        taken.body = match timeout_at(body_by, Limited::new(body, MAX_BODY).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) if e.is::<LengthLimitError>() => {
                 return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB")
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -4,7 +4,7 @@
 use peers::*;
 use serde_json::{json, Value};
 use std::collections::HashMap;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -682,6 +682,32 @@
     assert!(node.is_running());
 }
 
+#[test]
+fn strangers_that_send_nothing_whole_are_closed_or_told_in_time() {
+    let endpoint = Peer::new(|_| ok());
+    let (_discovery, node) = one_endpoint(&endpoint);
+    let head = "POST /alert HTTP/1.1\r\nHost: x\r\nX-Trace-Id: t\r\nX-Qos: alert\r\nX-Customer: acme\r\n\
+                X-Expires-In-Ms: 9000\r\nX-Consignee: dest=7\r\nIdempotency-Key: k\r\n";
+    let part_of_a_body = format!("{head}Content-Length: 9\r\n\r\nx");
+    let mut strangers: Vec<TcpStream> = ["", "PO", head, &part_of_a_body]
+        .iter()
+        .map(|part| {
+            let mut stranger = TcpStream::connect(node.address).unwrap();
+            stranger.write_all(part.as_bytes()).unwrap();
+            // Far more than the 3 s that are owed, and far less than an idle client's connection may stand.
+            stranger.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+            stranger
+        })
+        .collect();
+    for stranger in &mut strangers {
+        let mut told = Vec::new();
+        stranger.read_to_end(&mut told).expect("closed in time");
+        assert!(told.is_empty() || told.starts_with(b"HTTP/1.1 4"), "{}", String::from_utf8_lossy(&told));
+    }
+    settle(&node, &endpoint);
+    assert_eq!(endpoint.seen().len(), 1, "nothing of theirs is taken on");
+}
+
 #[test]
 fn malformed_input_is_answered_and_harms_nothing() {
     let endpoint = Peer::new(|_| ok());
