--- a/src/bin/nickelshed/server.rs
+++ b/src/bin/nickelshed/server.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderValue, ALLOW, CONNECTION, RETRY_AFTER};
+use hyper::header::{
+    HeaderMap, HeaderValue, ALLOW, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER, TRANSFER_ENCODING,
+};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -161,6 +163,25 @@
 
     /// What a message's headers say, with its body still to come.
     fn read_head(&self, headers: &HeaderMap, class: usize) -> Result<(Taken, Duration), &'static str> {
+        // What says two things is no proper request: it may be read as another one elsewhere.
+        let own = [
+            "host",
+            "x-trace-id",
+            "x-qos",
+            "x-customer",
+            "x-expires-in-ms",
+            "x-consignee",
+            "idempotency-key",
+        ];
+        if own.iter().any(|name| headers.get_all(*name).iter().nth(1).is_some()) {
+            return Err("a header comes twice");
+        }
+        if !headers.contains_key(HOST) {
+            return Err("Host is missing");
+        }
+        if headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH) {
+            return Err("the body has two lengths");
+        }
         let text = |name: &str| {
             headers.get(name).map(|v| v.to_str().map(str::trim).ok().filter(|t| t.len() <= MAX_NAME))
         };
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -751,6 +751,18 @@
     ] {
         assert_eq!(ask("POST /alert", (name, value), 1), 400, "{name}: {value:?}");
     }
+    let message = "POST /alert HTTP/1.1\r\nX-Trace-Id: t\r\nX-Qos: alert\r\nX-Customer: acme\r\nX-Expires-In-Ms: 9000\r\n\
+                   X-Consignee: dest=7\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n";
+    for more in [
+        "",
+        "Host: x\r\nX-Consignee: dest=8\r\n",
+        "Host: x\r\nX-Trace-Id: u\r\n",
+        "Host: x\r\nHost: y\r\n",
+        "Host: x\r\nTransfer-Encoding: chunked\r\n",
+    ] {
+        let answer = node.ask(format!("{message}{more}\r\nx").as_bytes()).expect("an answer");
+        assert!(answer.first.contains(" 400 "), "{more}: {}", answer.first);
+    }
     assert_eq!(ask("POST /nosuch", ("", None), 1), 404);
     assert_eq!(ask("POST /", ("", None), 1), 404);
     assert_eq!(ask("GET /alert", ("", None), 0), 405);
