--- a/src/bin/nickelshed/main.rs
+++ b/src/bin/nickelshed/main.rs
@@ -87,15 +87,8 @@
     // Only now: a sender is used once it answers, and what the journal holds comes first.
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     let (close, closing) = watch::channel(false);
-    let server = Rc::new(server::Server {
-        core: core_in.clone(),
-        around,
-        effects,
-        most: sockets / 2,
-        turned_away: sockets / 16,
-        open: Default::default(),
-        closed: Default::default(),
-    });
+    let server = server::Server::new(core_in.clone(), around, effects, sockets / 2, sockets / 16);
+    let server = Rc::new(server);
     let accepting = spawn_local(server.clone().accept(listener, closing));
 
     tokio::select! {
--- a/src/bin/nickelshed/server.rs
+++ b/src/bin/nickelshed/server.rs
@@ -13,7 +13,8 @@
 use hyper_util::rt::TokioIo;
 use leadfold::api::Effect;
 use leadfold::settings::Around;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
@@ -27,8 +28,20 @@
 const PATIENCE: Duration = Duration::from_millis(2_500);
 /// How long a connection may stand idle that has brought one.
 const IDLE: Duration = Duration::from_secs(75);
+/// From then on an idle one may be closed, where another client needs its place.
+const SPARE: Duration = Duration::from_secs(2);
 const MAX_NAME: usize = 256;
 
+/// A client's connection, as far as the choice needs it of which to close.
+struct Link {
+    used: Cell<Instant>,
+    /// Requests without their answer.
+    busy: Cell<u32>,
+    /// It was told to end.
+    ending: Cell<bool>,
+    end: Notify,
+}
+
 pub struct Server {
     pub core: mpsc::Sender<Input>,
     pub around: Around,
@@ -39,9 +52,35 @@
     pub turned_away: usize,
     pub open: Cell<usize>,
     pub closed: Notify,
+    links: RefCell<HashMap<u64, Rc<Link>>>,
+    next_link: Cell<u64>,
 }
 
 impl Server {
+    pub fn new(
+        core: mpsc::Sender<Input>,
+        around: Around,
+        effects: Vec<Effect>,
+        most: usize,
+        turned_away: usize,
+    ) -> Server {
+        let (open, closed, links, next_link) = Default::default();
+        Server { core, around, effects, most, turned_away, open, closed, links, next_link }
+    }
+
+    /// Ends the connection that has stood idle longest: clients keep what they once opened, so that without this
+    /// those of a busy moment would hold all places, and others be turned away, for as long as they may idle.
+    fn make_place(&self) -> bool {
+        let links = self.links.borrow();
+        let idle = links.values().filter(|l| l.busy.get() == 0 && !l.ending.get());
+        let longest = idle.min_by_key(|l| l.used.get()).filter(|l| l.used.get().elapsed() >= SPARE);
+        if let Some(link) = longest {
+            link.ending.set(true);
+            link.end.notify_one();
+        }
+        longest.is_some()
+    }
+
     /// Accepts until `closing` says so; the connections then end between requests.
     pub async fn accept(self: Rc<Self>, listener: TcpListener, closing: watch::Receiver<bool>) {
         let mut until = closing.clone();
@@ -61,35 +100,48 @@
                     }
                 },
             };
-            let full = self.open.get() >= self.most;
+            let full = self.open.get() >= self.most && !self.make_place();
             self.open.set(self.open.get() + 1);
             let (server, closing) = (self.clone(), closing.clone());
+            let link = Rc::new(Link {
+                used: Cell::new(Instant::now()),
+                busy: Cell::default(),
+                ending: Cell::default(),
+                end: Notify::new(),
+            });
+            let number = self.next_link.replace(self.next_link.get() + 1);
+            self.links.borrow_mut().insert(number, link.clone());
             tokio::task::spawn_local(async move {
-                server.clone().serve(stream, full, closing).await;
+                server.clone().serve(stream, full, closing, &link).await;
+                server.links.borrow_mut().remove(&number);
                 server.open.set(server.open.get() - 1);
                 server.closed.notify_one();
             });
         }
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream, full: bool, mut closing: watch::Receiver<bool>) {
+    async fn serve(
+        self: Rc<Self>,
+        stream: TcpStream,
+        full: bool,
+        mut closing: watch::Receiver<bool>,
+        link: &Link,
+    ) {
         let _ = stream.set_nodelay(true);
-        let accepted = Instant::now();
+        let accepted = link.used.get();
         let whole = Rc::new(Cell::new(false));
-        let used = Rc::new(Cell::new(Instant::now()));
-        let busy = Rc::new(Cell::new(0u32));
         let service = service_fn(|request| {
-            let (server, used, busy, whole) = (self.clone(), used.clone(), busy.clone(), whole.clone());
+            let (server, whole) = (self.clone(), whole.clone());
             async move {
-                busy.set(busy.get() + 1);
+                link.busy.set(link.busy.get() + 1);
                 let since = if whole.replace(true) { Instant::now() } else { accepted };
                 let mut response =
                     if full { refused(None) } else { server.answer(request, since + PATIENCE).await };
                 if full {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
-                busy.set(busy.get() - 1);
-                used.set(Instant::now());
+                link.busy.set(link.busy.get() - 1);
+                link.used.set(Instant::now());
                 Ok::<_, Infallible>(response)
             }
         });
@@ -105,11 +157,15 @@
                     ending = true;
                     connection.as_mut().graceful_shutdown();
                 }
+                () = link.end.notified(), if !ending => {
+                    ending = true;
+                    connection.as_mut().graceful_shutdown();
+                }
                 () = sleep(idle) => {
                     // Also one that opens a request and never ends it.
                     let bound = if whole.get() { IDLE } else { PATIENCE };
-                    let stood = used.get().elapsed();
-                    if busy.get() == 0 && stood >= bound {
+                    let stood = link.used.get().elapsed();
+                    if link.busy.get() == 0 && stood >= bound {
                         return;
                     }
                     idle = bound.saturating_sub(stood).max(Duration::from_secs(1));
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -4,7 +4,7 @@
 use peers::*;
 use serde_json::{json, Value};
 use std::collections::HashMap;
-use std::io::{Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -542,6 +542,27 @@
     endpoint.wait_for("settle", 1);
 }
 
+#[test]
+fn clients_that_stand_idle_make_place_for_others() {
+    let endpoint = Peer::new(|_| ok());
+    let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7)]));
+    let node = Node::with(&discovery, json!([]), |c| c["limits"]["sockets"] = json!(64));
+    let mut kept: Vec<TcpStream> = (0..20)
+        .map(|_| {
+            let mut client = TcpStream::connect(node.address).unwrap();
+            client.write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+            let answer = read_message(&mut BufReader::new(client.try_clone().unwrap()), 0).unwrap();
+            assert!(answer.first.contains(" 200"));
+            client
+        })
+        .collect();
+    // All places are taken, and stay open far longer than this waits unless they are needed.
+    node.until("an idle client makes place", || node.hand_in("alert", "settle", 7, 16_000, b"x") == 202);
+    endpoint.wait_for("settle", 1);
+    kept[0].set_read_timeout(Some(BOUND)).unwrap();
+    assert_eq!(kept[0].read(&mut [0]).expect("an end"), 0, "the one that stood longest");
+}
+
 #[test]
 fn a_client_that_leaves_in_the_middle_harms_nothing() {
     let endpoint = Peer::new(|_| ok());
