--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,6 +43,10 @@
 /// What was told of a limit's use holds for so long; then the share used doubles each time.
 const STALE: Ns = 5 * SECOND;
 
+/// Where answers hold no reports each takes the share up by this much: slow enough that at the limit about one
+/// call in twenty is refused, as a refusal takes it down by a fifth.
+const PROBE: f64 = 1.01;
+
 /// Room left takes the share up by this power of the number of senders: as many answers lead from an equal
 /// share to all, however many there are.
 const RISE: f64 = 0.045;
@@ -455,18 +459,19 @@
                 route.doubt = false;
                 // The share follows what is left of the allowance: others' calls are not seen otherwise.
                 let share = route.share_now(now);
-                // An answer without a report is no news of them: the share goes on growing back.
+                // An answer without a report tells just that there was room for one more.
                 (route.share, route.share_at) = match left {
                     Some(l) if l > 0.5 => ((share * n.powf(RISE)).min(1.0), now - STALE),
                     Some(l) if l < 0.2 => ((share * 0.95).max(0.7 / n), now),
                     Some(_) => (share, now),
-                    None => (route.share, route.share_at),
+                    None => ((share * PROBE).min(1.0), now),
                 };
                 false
             }
             Outcome::TurnedAway => {
                 route.refusals += 1;
-                route.share = (route.share_now(now).min(1.0 / n) * 0.8).max(0.5 / n);
+                // From what was in use: where the others send little, an equal share would leave the rest unused.
+                route.share = (route.share_now(now) * 0.8).max(0.5 / n);
                 // The pause is no staleness: else all would grow back in it and use up the limit by asking.
                 let rate = route.limit.unwrap_or(route.hint) * route.share;
                 route.share_at = now + if rate > 0.0 { (1e9 / rate).min(30e9) as Ns } else { 0 };
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -478,6 +478,21 @@
     assert!(late > 0.9 * 2.0 * limit, "{late} in two seconds");
 }
 
+#[test]
+fn one_refusal_leaves_a_busy_sender_most_of_the_limit() {
+    let limit = 40.0;
+    let (_, mut s) = paced(limit);
+    // By then nothing has been refused for long, and it uses the whole limit.
+    let refused = 400;
+    let sent = drive(&mut s, 25 * MS, 25 * SECOND, |n| match n == refused {
+        true => Outcome::TurnedAway,
+        false => Outcome::Served,
+    });
+    let at = sent[refused as usize - 1] + 50 * MS;
+    let after = sent.iter().filter(|&&t| t > at && t <= at + 4 * SECOND).count() as f64;
+    assert!(after > 0.7 * 4.0 * limit, "{after} in four seconds");
+}
+
 #[test]
 fn overdue_calls_that_are_then_served_leave_no_ramp() {
     let mut s = Stand::new(settings(), &[entry(1, 1, 0)]);
