--- a/src/rules.rs
+++ b/src/rules.rs
@@ -471,7 +471,14 @@
             Outcome::TurnedAway => {
                 route.refusals += 1;
                 // From what was in use: where the others send little, an equal share would leave the rest unused.
+                if route.refusals == 1 {
+                    route.share_before = route.share_now(now);
+                }
                 route.share = (route.share_now(now) * 0.8).max(0.5 / n);
+                // Shut: what was refused tells nothing of the limit.
+                if route.refusals >= SHUT_RUN || e.wait >= SHUT_WAIT {
+                    route.share = route.share_before;
+                }
                 // The pause is no staleness: else all would grow back in it and use up the limit by asking.
                 let rate = route.limit.unwrap_or(route.hint) * route.share;
                 route.share_at = now + if rate > 0.0 { (1e9 / rate).min(30e9) as Ns } else { 0 };
--- a/src/state.rs
+++ b/src/state.rs
@@ -72,6 +72,8 @@
     /// This sender's share of the limit when last told (`share_now`).
     pub share: f64,
     pub share_at: Ns,
+    /// The share when the present run of refusals began.
+    pub share_before: f64,
     pub tokens: f64,
     pub filled_at: Ns,
     pub wait_until: Ns,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -493,6 +493,23 @@
     assert!(after > 0.7 * 4.0 * limit, "{after} in four seconds");
 }
 
+#[test]
+fn refusals_of_a_shut_route_leave_its_share_as_it_was() {
+    let limit = 40.0;
+    // So high that the ramp leaves more than the least share.
+    let cfg = Settings { fall_multiple: 5.0, ..paced(limit).0 };
+    let mut s = Stand::new(cfg, &[Entry { hint: limit, ..entry(1, 1, 0) }]);
+    let (first, last) = (400, 410);
+    let sent = drive(&mut s, 25 * MS, 50 * SECOND, |n| match (first..=last).contains(&n) {
+        true => Outcome::TurnedAway,
+        false => Outcome::Served,
+    });
+    // On the way up its pace is the ramp's, not that of a share cut with each refusal.
+    let back = sent[last as usize - 1] + 50 * MS;
+    let after = sent.iter().filter(|&&t| t > back + 3 * SECOND && t <= back + 6 * SECOND).count();
+    assert!(after > 75, "{after} in three seconds");
+}
+
 #[test]
 fn overdue_calls_that_are_then_served_leave_no_ramp() {
     let mut s = Stand::new(settings(), &[entry(1, 1, 0)]);
