--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,8 +43,8 @@
 /// What was told of a limit's use holds for so long; then the share used doubles each time.
 const STALE: Ns = 5 * SECOND;
 
-/// Where answers hold no reports each takes the share up by this much: slow enough that at the limit about one
-/// call in twenty is refused, as a refusal takes it down by a fifth.
+/// Where answers hold no reports each takes the share up by this much: slow enough that at the limit about
+/// one call in twenty is refused, as a refusal takes it down by a fifth.
 const PROBE: f64 = 1.01;
 
 /// Room left takes the share up by this power of the number of senders: as many answers lead from an equal
@@ -470,7 +470,7 @@
             }
             Outcome::TurnedAway => {
                 route.refusals += 1;
-                // From what was in use: where the others send little, an equal share would leave the rest unused.
+                // From what was in use: an equal share would leave unused what the others don't send.
                 if route.refusals == 1 {
                     route.share_before = route.share_now(now);
                 }
@@ -520,8 +520,8 @@
         }
         let sick = route.failures >= DOUBT_RUN || route.failing > DOUBT_SHARE;
         route.doubt |= sick;
-        // Single failures on the way up are no outage: were each to start the ramp anew, a route that loses one
-        // call in twenty would never be warm again.
+        // Single failures on the way up are no outage: were each to start the ramp anew, a route that loses
+        // one call in twenty would never be warm again.
         if told && sick {
             route.cold = true;
             route.last_failure = self.now;
