--- a/src/bin/nickelshed/client.rs
+++ b/src/bin/nickelshed/client.rs
@@ -328,7 +328,7 @@
         self.pool.borrow_mut().remove(&endpoint);
     }
 
-    /// Closes what has stood idle too long or was closed from the other side, and forgets waits that are over.
+    /// Closes what has stood idle too long or was closed from the other side, and forgets waits and bounds that are over.
     pub async fn keep_pool(self: Rc<Self>) {
         let mut every = tokio::time::interval(Duration::from_millis(100));
         loop {
@@ -339,6 +339,9 @@
                 !links.is_empty()
             });
             self.waits.borrow_mut().retain(|_, until| *until > now);
+            let grown_back = |e: EndpointId| self.keep(e, now) >= self.idle;
+            let over: Vec<_> = self.keeps.borrow().keys().copied().filter(|&e| grown_back(e)).collect();
+            over.iter().for_each(|e| _ = self.keeps.borrow_mut().remove(e));
         }
     }
 
