Take a refused sender down to what it used of a limit, not from what it was allowed

Cause: the share starts at a quarter for each sender, 25 limits together, which is harmless while little is sent; but a refusal took a fifth off that allowance (judge, TurnedAway: share x 0.8), so that 14 refusals in each of 100 senders lie between it and an equal part, and after the fourth in a row the old share was put back as if the route were shut. Three senders start next to their equal part and never saw this. Ruled out: endpoints that fail (next to no errors or resets there), connections (none refused while this begins), discovery (happens before the kill too).

The step down now starts from what the sender had served of the limit lately, or an equal part if that is more. The special case for reports that tell of nothing left goes, as this covers it.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -501,15 +501,15 @@
             }
             Outcome::TurnedAway => {
                 route.refusals += 1;
-                // From what was in use: an equal share would leave unused what the others don't send.
+                // From what was in use: an equal share would leave unused what the others don't send. An
+                // allowance that was not in use is no guide: were each of a fleet to step down from it, refused
+                // calls would use the limit up long before they came down to what it takes.
+                let used = per_second(route.served.aged(now)) / route.limit.unwrap_or(route.hint).max(1e-9);
+                let share = route.share_now(now).min(used.max(1.0 / n));
                 if route.refusals == 1 {
-                    route.share_before = route.share_now(now);
-                }
-                route.share = (route.share_now(now) * 0.8).max(0.5 / n);
-                // Told that nothing is left: more than a few do have work there.
-                if left.is_some_and(|l| l < 0.2) && self.cfg.n_instances > FEW {
-                    route.share = route.share.min(1.0 / n);
+                    route.share_before = share;
                 }
+                route.share = (share * 0.8).max(0.5 / n);
                 // Shut: what was refused tells nothing of the limit.
                 if route.refusals >= SHUT_RUN || e.wait >= SHUT_WAIT {
                     route.share = route.share_before;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -781,3 +781,15 @@
     assert!(closed(48), "one each would be more than an endpoint takes");
     assert!(!closed(3), "a few may each keep theirs");
 }
+
+#[test]
+fn in_a_large_fleet_one_refusal_leaves_at_most_an_equal_part_of_a_limit_that_was_not_in_use() {
+    let fleet = Settings { n_instances: 100, hints: true, max_open: 10_000, ..settings() };
+    let mut s = Stand::new(fleet, &[Entry { hint: 40.0, ..entry(1, 1, 0) }]);
+    let sent = drive(&mut s, 100 * MS, 5 * SECOND, |n| match n {
+        1 => Outcome::TurnedAway,
+        _ => Outcome::Served,
+    });
+    // Its part is two calls in 5 s; a fleet that goes on with what each was allowed before sends twenty times that.
+    assert!(sent.len() <= 1 + 3, "{}", sent.len());
+}
