Spread the next calls of senders that were refused together

Cause: a refusal put the route's tokens at nought (judge, TurnedAway), so that every sender refused at one time had its next token at one time, a turn of the same pace later. The jitter of the pause beside it spreads by at most 1.6 s, less than that turn of 2 to 6 s. Ruled out: told waits (few are told there).

They now go on after one turn to two, drawn by each.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -502,8 +502,8 @@
             Outcome::TurnedAway => {
                 route.refusals += 1;
                 // From what was in use: an equal share would leave unused what the others don't send. An
-                // allowance that was not in use is no guide: were each of a fleet to step down from it, refused
-                // calls would use the limit up long before they came down to what it takes.
+                // allowance that was not in use is no guide: did all of a fleet step down from it, refused calls
+                // would use the limit up long before they came down to what it takes.
                 let used = per_second(route.served.aged(now)) / route.limit.unwrap_or(route.hint).max(1e-9);
                 let share = route.share_now(now).min(used.max(1.0 / n));
                 if route.refusals == 1 {
@@ -517,7 +517,8 @@
                 // The pause is no staleness: else all would grow back in it and use up the limit by asking.
                 let rate = route.limit.unwrap_or(route.hint) * route.share;
                 route.share_at = now + if rate > 0.0 { (1e9 / rate).min(30e9) as Ns } else { 0 };
-                route.tokens = route.tokens.min(0.0);
+                // One turn to two: those who were refused together would else come again together.
+                route.tokens = route.tokens.min(0.5 - jitter);
                 let back = (PERIOD << (route.refusals - 1).min(4)) as f64 * jitter;
                 route.not_before = route.not_before.max(now + back as Ns);
                 // At the limit a refusal is the limit's. Shut: a long wait, plenty left, or refusals only.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -793,3 +793,22 @@
     // Its part is two calls in 5 s; a fleet that goes on with what each was allowed before sends twenty times that.
     assert!(sent.len() <= 1 + 3, "{}", sent.len());
 }
+
+#[test]
+fn senders_refused_together_do_not_come_again_together() {
+    let n = 100;
+    let mut again = Vec::new();
+    for seed in 0..n as u64 {
+        let fleet = Settings { n_instances: n, hints: true, ..settings() };
+        let mut s = Stand { sender: leadfold::rules::Sender::new(fleet, seed), now: T0, actions: Vec::new() };
+        s.give(vec![Event::List { whole: true, entries: vec![Entry { hint: 40.0, ..entry(1, 1, 0) }] }]);
+        s.take(message(1, 1, 1));
+        s.now += 50 * MS;
+        s.end(end(1, 0, 1, Outcome::TurnedAway));
+        let sent = s.pass(12 * SECOND).into_iter().find(|(_, a)| matches!(a, Action::Send { .. }));
+        again.extend(sent.map(|(at, _)| at - T0));
+    }
+    assert_eq!(again.len(), n, "all come again");
+    let busiest = (0..12).map(|s| again.iter().filter(|&&at| at / SECOND == s).count()).max();
+    assert!(busiest < Some(60), "{busiest:?} of them in a second");
+}
