Let a cut share grow back from the last refusal on, within the shortest aim

Cause: where answers hold no reports, an answer took the share up by a hundredth and at the same time put off the regrowth in time by 5 s (judge, Served). A sender of three has ten answers a second and is back within seconds; one of a hundred has one in some seconds and never is. Ruled out: refusals, outages (the same at destinations that had none), room (no sender holds nearly as many as it may).

An answer no longer puts off what time gives back, and what a refusal told holds for the shortest aim, from the settings, instead of 5 s; that also goes for sites with reports.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -41,9 +41,6 @@
 /// For so long after a call got no connection its kind of endpoint is taken to be short of them.
 const SCARCE: Ns = 60 * SECOND;
 
-/// What was told of a limit's use holds for so long; then the share used doubles each time.
-const STALE: Ns = 5 * SECOND;
-
 /// Where answers hold no reports each takes the share up by this much: slow enough that at the limit about
 /// one call in twenty is refused, as a refusal takes it down by a fifth.
 const PROBE: f64 = 1.01;
@@ -84,9 +81,10 @@
 }
 
 impl Route {
-    /// The share that may be used: what is not told again grows back, as others' calls are not seen.
-    fn share_now(&self, now: Ns) -> f64 {
-        let stale = (now - self.share_at - STALE).max(0) as f64 / STALE as f64;
+    /// The share that may be used: what was told holds for a `span` and then doubles with each, as others'
+    /// calls are not seen.
+    fn share_now(&self, now: Ns, span: Ns) -> f64 {
+        let stale = (now - self.share_at - span).max(0) as f64 / span as f64;
         (self.share * stale.exp2()).min(1.0)
     }
 }
@@ -468,6 +466,7 @@
         let now = self.now;
         let jitter = 0.5 + self.random();
         let n = self.cfg.n_instances.max(1) as f64;
+        let stale = stale(&self.cfg);
         let Some(route) = self.routes.get_mut(&route_id) else { return };
         let Some(place) = self.endpoints.get_mut(&e.endpoint) else { return };
         let mut left = None;
@@ -489,23 +488,25 @@
                 route.failing *= 0.7;
                 route.doubt = false;
                 // The share follows what is left of the allowance: others' calls are not seen otherwise.
-                let share = route.share_now(now);
+                let share = route.share_now(now, stale);
                 // An answer without a report tells just that there was room for one more.
                 (route.share, route.share_at) = match left {
-                    Some(l) if l > 0.5 => ((share * n.powf(RISE)).min(1.0), now - STALE),
+                    Some(l) if l > 0.5 => ((share * n.powf(RISE)).min(1.0), now - stale),
                     Some(l) if l < 0.2 => ((share * 0.95).max(0.7 / n), now),
                     Some(_) => (share, now),
-                    None => ((share * PROBE).min(1.0), now),
+                    // It does not hold up what time gives back: with few answers each, a fleet would never
+                    // have the limit back that one clump or outage took.
+                    None => ((share * PROBE).min(1.0), route.share_at.max(now - stale)),
                 };
                 false
             }
             Outcome::TurnedAway => {
                 route.refusals += 1;
                 // From what was in use: an equal share would leave unused what the others don't send. An
-                // allowance that was not in use is no guide: did all of a fleet step down from it, refused calls
-                // would use the limit up long before they came down to what it takes.
+                // allowance that was not in use is no guide: did all of a fleet step down from it, the limit
+                // would be used up by refused calls long before they came down to what it takes.
                 let used = per_second(route.served.aged(now)) / route.limit.unwrap_or(route.hint).max(1e-9);
-                let share = route.share_now(now).min(used.max(1.0 / n));
+                let share = route.share_now(now, stale).min(used.max(1.0 / n));
                 if route.refusals == 1 {
                     route.share_before = share;
                 }
@@ -561,8 +562,9 @@
         if told && sick {
             // After an outage every sender has work that waited.
             if !route.cold && self.cfg.n_instances > FEW {
+                let stale = stale(&self.cfg);
                 let equal = 1.0 / self.cfg.n_instances as f64;
-                (route.share, route.share_at) = (route.share_now(self.now).min(equal), self.now);
+                (route.share, route.share_at) = (route.share_now(self.now, stale).min(equal), self.now);
             }
             route.cold = true;
             route.last_failure = self.now;
@@ -646,7 +648,7 @@
         if held_off > now {
             return held_off;
         }
-        let ramp = self.ramp(route);
+        let (ramp, stale) = (self.ramp(route), stale(&self.cfg));
         let route = self.routes.get_mut(&id).expect("looked up above");
         if route.cold && !route.doubt && now - route.last_failure > self.cfg.cold {
             route.cold = false;
@@ -655,7 +657,7 @@
             return if route.in_flight > 0 { Ns::MAX } else { route.next_trial };
         }
         let limit = route.limit.unwrap_or(route.hint);
-        let mut rate = if limit > 0.0 { limit * route.share_now(now) } else { f64::INFINITY };
+        let mut rate = if limit > 0.0 { limit * route.share_now(now, stale) } else { f64::INFINITY };
         let mut burst = (0.4 * rate).clamp(1.0, 4.0);
         if route.cold {
             (rate, burst) = (rate.min(ramp), 1.0);
@@ -986,6 +988,12 @@
     weight * std::f64::consts::LN_2 / (HALF_LIFE / 1e9)
 }
 
+/// For how long what was told of a limit holds: the shortest aim. A share that stays low for longer makes its
+/// messages late, one that does not stay low for as long has the limit used up by asking.
+fn stale(cfg: &Settings) -> Ns {
+    cfg.classes.iter().map(|c| c.aim).min().unwrap_or(SECOND).max(1)
+}
+
 /// Caps run from one to three quarters of the slots.
 fn top(cfg: &Settings) -> usize {
     (cfg.slots * 3 / 4).max(1)
