Log a message's own id as it is taken up, and list entries, at debug

A request could not be followed from sender to sender: the logs held only the process's own numbers. `held` now names the id with the number by which the other lines go on; `handed back`, `given up` and `no room` say how it ended, `listed` what the number of an endpoint stands for.

--- a/src/bin/nickelshed/core.rs
+++ b/src/bin/nickelshed/core.rs
@@ -466,6 +466,8 @@
             let ready = condition == Condition::Ready;
             self.client.place(endpoint, instance.address, instance.dest, separate, ready);
             let (dest, hint) = (instance.dest, instance.weight);
+            let (name, zone_name, lifecycle) = (&instance.name, &instance.zone, &instance.lifecycle);
+            tracing::debug!(endpoint, name, dest, kind, zone_name, lifecycle, hint, "listed");
             entries.push(Entry { endpoint, dest, kind, zone, condition, hint });
         }
         Event::List { whole, entries }
@@ -543,16 +545,20 @@
                     }
                 }
                 Action::Refuse { id, backoff } => {
+                    tracing::debug!(id, ms = backoff / MS, "handed back");
                     let backoff = (backoff > 0).then_some((backoff / MS) as u64);
                     match offered.remove(&id) {
                         Some(o) => refused.push((o, Reply::Refused(backoff.map(Duration::from_millis)))),
                         None => endings.push((id, Ending::HandedBack(backoff))),
                     }
                 }
-                Action::Fail { id } => match offered.remove(&id) {
-                    Some(o) => refused.push((o, Reply::Failed)),
-                    None => endings.push((id, Ending::GivenUp)),
-                },
+                Action::Fail { id } => {
+                    tracing::debug!(id, "given up");
+                    match offered.remove(&id) {
+                        Some(o) => refused.push((o, Reply::Failed)),
+                        None => endings.push((id, Ending::GivenUp)),
+                    }
+                }
                 Action::Cancel { id, attempt } => {
                     if let Some(out) = self.calls.get(&(id, attempt)) {
                         out.cancel.set();
@@ -627,6 +633,7 @@
         let room = room.filter(|_| self.held.len() < self.settings.max_open && self.wind.is_none());
         let (Some(claim), Some(class)) = (room, position(&self.around.classes, &taken.class)) else {
             let after = Duration::from_nanos(self.sender.backoff(taken.dest).max(0) as u64);
+            tracing::debug!(trace = taken.trace, dest = taken.dest, ?after, "no room");
             let _ = reply.send(Reply::Refused(Some(after)));
             return;
         };
@@ -643,6 +650,8 @@
     fn hold(&mut self, taken: Rc<Taken>, class: usize, left: Ns, end: Ns, attempts: u32) -> Message {
         let (id, dest) = (taken.id, taken.dest);
         let tenant = position(&self.around.tenants, &taken.tenant).unwrap_or(0);
+        // By its own id a message can be followed from sender to sender; all else here goes by the number.
+        tracing::debug!(id, trace = taken.trace, class = taken.class, dest, ms = left / MS, attempts, "held");
         self.traces.insert(taken.trace.clone(), id);
         self.held.insert(id, Held { taken, end, attempts });
         Message { id, class, dest, left, cost: 0, key: None, tenant }
