Give each sender an order of its own among equal endpoints

Calls per endpoint of destination 14: 3,893 and 57; of destination 3: 3,730 and 510.

Ruled out: the limit (half of it in use), the endpoint's work (served calls take 107 ms in the median, as elsewhere), slots and the cap (a median of one call out a sender). The refusals come where 10 to 14 calls are out at one endpoint.

Cause: rules.rs, candidate: the last word among equal endpoints was the number, which follows the list, alike at all senders. Harmless in a sender with several calls out, as the calls out come before it; with one call now and then everyone's goes to the endpoint named first.

Now an order drawn by each sender. The test's calls of 300 senders to 3 endpoints were [300, 0, 0].

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -277,7 +277,10 @@
         }
         for entry in entries {
             let (dest, kind, zone) = (entry.dest, entry.kind, entry.zone);
-            let known = self.endpoints.entry(entry.endpoint).or_insert_with(unused);
+            // Each sender has an order of its own among equals: a fleet whose senders have a call out each now and
+            // then would else send nearly all of them to the endpoint that its list names first.
+            let lot = (self.random() * f64::from(u32::MAX)) as u32;
+            let known = self.endpoints.entry(entry.endpoint).or_insert_with(|| Endpoint { lot, ..unused() });
             (known.dest, known.kind, known.zone) = (dest, kind, zone);
             known.listed = entry.condition == Condition::Ready;
             known.usable = known.listed && !self.maint.contains(&entry.endpoint);
@@ -804,7 +807,7 @@
         if dest.held.is_empty() || dest.in_flight >= dest.cap {
             return Err(Ns::MAX);
         }
-        let mut best: Option<(bool, bool, bool, usize, EndpointId)> = None;
+        let mut best: Option<(bool, bool, bool, usize, u32, EndpointId)> = None;
         let mut wake = Ns::MAX;
         for place in dest.places.clone() {
             if !self.endpoints.get(&place).is_some_and(|e| e.dest == id && e.usable) {
@@ -825,7 +828,7 @@
             let warm = if now - e.used_at < self.cfg.idle_close { e.warm } else { e.in_flight };
             let cold_conn = e.in_flight >= warm * self.cfg.streams_per_conn;
             let far = e.zone != self.cfg.zone;
-            let key = (e.avoid_until > now, far, cold_conn, e.in_flight, place);
+            let key = (e.avoid_until > now, far, cold_conn, e.in_flight, e.lot, place);
             best = Some(best.map_or(key, |b| b.min(key)));
         }
         let Some((.., place)) = best else { return Err(wake) };
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -825,3 +825,20 @@
     let late = sent.iter().filter(|&&t| t > T0 + 20 * SECOND).count();
     assert!(late >= 10, "no more waits for a limit that is free: {late} in 10 s");
 }
+
+#[test]
+fn senders_with_a_call_now_and_then_do_not_all_choose_the_endpoint_that_is_named_first() {
+    let senders = 300;
+    let mut calls = [0; 3];
+    for seed in 0..senders {
+        let fleet = Settings { n_instances: senders as usize, ..settings() };
+        let mut s = Stand { sender: leadfold::rules::Sender::new(fleet, seed), now: T0, actions: Vec::new() };
+        let entries = vec![entry(1, 1, 0), entry(2, 1, 0), entry(3, 1, 0)];
+        s.give(vec![Event::List { whole: true, entries }]);
+        for (_, endpoint) in sends(&s.take(message(1, 1, 1))) {
+            calls[endpoint as usize - 1] += 1;
+        }
+    }
+    assert_eq!(calls.iter().sum::<u64>(), senders, "{calls:?}");
+    assert!(calls.iter().all(|&n| n > senders / 6), "{calls:?}");
+}
