Refuse requests with two lengths or over 8 KiB of headers

Ruled out: the second request itself (never read: the library ends the connection), heads that the library refuses.

Cause: server.rs. read_head looked for both lengths among the library's headers, but hyper removes Content-Length once it has seen Transfer-Encoding, so the check could not fail. And nothing bounded the headers below the library's 400 KB.

Now what is read of a head is kept until the answer, up to 8 KiB; a chunked request whose own head was not seen, or names a length too, is answered 400 and its connection closed. Longer headers are answered 431.

--- a/src/bin/nickelshed/server.rs
+++ b/src/bin/nickelshed/server.rs
@@ -5,9 +5,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{
-    HeaderMap, HeaderValue, ALLOW, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER, TRANSFER_ENCODING,
-};
+use hyper::header::{HeaderMap, HeaderValue, ALLOW, CONNECTION, HOST, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -31,6 +29,8 @@
 /// How long a connection may take to bring its first whole request, and a later request to bring its body:
 /// strangers are owed an error or a close within 3 s.
 const PATIENCE: Duration = Duration::from_millis(2_500);
+/// Headers of a request in bytes, together: a message's own take a few hundred.
+const MAX_HEAD: usize = 8 << 10;
 /// How long a connection may stand idle that has brought one.
 const IDLE: Duration = Duration::from_secs(75);
 /// From then on an idle one may be closed, where another client needs its place.
@@ -47,6 +47,9 @@
     unfinished: Cell<bool>,
     /// A request has come whole and has no answer yet.
     whole: Cell<bool>,
+    /// What was read since the last answer, as far as it may be a request's headers: the library leaves out a
+    /// length that it does not go by.
+    head: RefCell<Vec<u8>>,
     /// Requests without their answer.
     busy: Cell<u32>,
     /// It was told to end.
@@ -57,6 +60,22 @@
 }
 
 impl Link {
+    /// Notes what was read of the next request.
+    fn note(&self, read: &[u8]) {
+        let mut head = self.head.borrow_mut();
+        let room = MAX_HEAD.saturating_sub(head.len());
+        head.extend_from_slice(&read[..read.len().min(room)]);
+    }
+
+    /// Whether the request's headers were all seen, and hold no length of the body.
+    fn tells_no_length(&self) -> bool {
+        let head = self.head.borrow();
+        let Some(end) = head.windows(4).position(|w| w == b"\r\n\r\n") else { return false };
+        let named =
+            |line: &[u8]| line.split(|&b| b == b':').next().map(|n| n.trim_ascii().to_ascii_lowercase());
+        !head[..end].split(|&b| b == b'\n').any(|line| named(line).as_deref() == Some(b"content-length"))
+    }
+
     /// Whether it may lose its place to another client, and which one is to lose it first: one that stands idle
     /// costs its client nothing; then the one that leaves its request unfinished and has been silent longest.
     fn spare(&self) -> Option<(bool, Instant)> {
@@ -84,6 +103,7 @@
         let done = Pin::new(&mut self.from).poll_read(cx, buf);
         if buf.filled().len() > before {
             self.link.heard.set(Instant::now());
+            self.link.note(&buf.filled()[before..]);
             self.link.unfinished.set(true);
         }
         done
@@ -198,6 +218,7 @@
             heard: Cell::new(now),
             unfinished: Cell::new(!client.whole || !client.read.is_empty()),
             whole: Cell::default(),
+            head: RefCell::new(client.read.to_vec()),
             busy: Cell::default(),
             ending: Cell::default(),
             end: Notify::new(),
@@ -230,11 +251,12 @@
                 let mut response =
                     if full { refused(None) } else { self.answer(request, since + PATIENCE, link).await };
                 if full || self.scarce() {
-                    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                    response = last(response);
                 }
                 link.busy.set(link.busy.get() - 1);
                 link.whole.set(false);
                 link.unfinished.set(false);
+                link.head.borrow_mut().clear();
                 link.used.set(Instant::now());
                 link.free.notify_one();
                 Ok::<_, Infallible>(response)
@@ -297,6 +319,15 @@
         link: &Link,
     ) -> Response<Full<Bytes>> {
         let (head, body) = request.into_parts();
+        if head.headers.contains_key(TRANSFER_ENCODING) && !link.tells_no_length() {
+            // Where this request ends is a matter of opinion, so what follows may not be read as another one.
+            return last(plain(StatusCode::BAD_REQUEST, "the body has two lengths"));
+        }
+        if head.headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum::<usize>()
+            > MAX_HEAD
+        {
+            return last(plain(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "the headers are over 8 KiB"));
+        }
         let path = head.uri.path();
         if path == "/healthz" {
             let get = matches!(head.method, Method::GET | Method::HEAD);
@@ -357,9 +388,6 @@
         if !headers.contains_key(HOST) {
             return Err("Host is missing");
         }
-        if headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH) {
-            return Err("the body has two lengths");
-        }
         let text = |name: &str| {
             headers.get(name).map(|v| v.to_str().map(str::trim).ok().filter(|t| t.len() <= MAX_NAME))
         };
@@ -403,6 +431,12 @@
     response
 }
 
+/// The connection ends with this answer.
+fn last(mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 pub fn wrong_method(allowed: &'static str) -> Response<Full<Bytes>> {
     let mut response = plain(StatusCode::METHOD_NOT_ALLOWED, "");
     response.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -755,6 +755,31 @@
     assert_eq!(endpoint.seen().len(), 1, "nothing of theirs is taken on");
 }
 
+#[test]
+fn what_follows_a_request_with_two_lengths_is_not_read_as_another_one() {
+    let endpoint = Peer::new(|_| ok());
+    let (_discovery, node) = one_endpoint(&endpoint);
+    let inner = String::from_utf8(message("alert", "inner", 7, 9_000, b"")).unwrap();
+    let outer = String::from_utf8(message("alert", "outer", 7, 9_000, b"")).unwrap();
+    let lengths = format!("Content-Length: {}\r\nTransfer-Encoding: chunked\r\n", 5 + inner.len());
+    let outer = outer.replace("Content-Length: 0\r\n", &lengths);
+    let mut stream = TcpStream::connect(node.address).unwrap();
+    stream.set_read_timeout(Some(peers::BOUND)).unwrap();
+    stream.write_all(format!("{outer}0\r\n\r\n{inner}").as_bytes()).unwrap();
+    let mut all = String::new();
+    stream.read_to_string(&mut all).unwrap();
+    assert!(all.starts_with("HTTP/1.1 400 "), "{all}");
+    assert_eq!(all.matches("HTTP/1.1 ").count(), 1, "{all}");
+    // With one of the two it is as good as any.
+    let chunked = String::from_utf8(message("alert", "chunked", 7, 9_000, b"")).unwrap();
+    let chunked =
+        chunked.replace("Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n") + "1\r\nx\r\n0\r\n\r\n";
+    assert!(node.ask(chunked.as_bytes()).expect("an answer").first.contains(" 202 "));
+    assert_eq!(endpoint.wait_for("chunked", 1)[0].body, b"x");
+    assert!(endpoint.seen().iter().all(|r| r.id() != "inner" && r.id() != "outer"));
+    settle(&node, &endpoint);
+}
+
 #[test]
 fn malformed_input_is_answered_and_harms_nothing() {
     let endpoint = Peer::new(|_| ok());
@@ -810,6 +835,9 @@
         let answer = node.ask(format!("{message}{more}\r\nx").as_bytes()).expect("an answer");
         assert!(answer.first.contains(" 400 "), "{more}: {}", answer.first);
     }
+    let padded = format!("{message}Host: x\r\nX-Pad: {}\r\n\r\nx", "p".repeat(20_000));
+    let answer = node.ask(padded.as_bytes()).expect("an answer");
+    assert!(answer.first.contains(" 431 "), "{}", answer.first);
     assert_eq!(ask("POST /nosuch", ("", None), 1), 404);
     assert_eq!(ask("POST /", ("", None), 1), 404);
     assert_eq!(ask("GET /alert", ("", None), 0), 405);
