Give each sender of a test a loopback address of its own

A sender's port on 127.0.0.1 was free for others while it was down or not yet started: one run in about ten failed with 'cannot listen on 127.0.0.1:46537: Address already in use' after a restart, taken by a peer of another test.

--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -3,7 +3,7 @@
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -309,9 +309,18 @@
     assert!(Command::new("kill").args([which, &child.id().to_string()]).status().unwrap().success());
 }
 
-/// An address of which nothing else knows.
+/// An address of which nothing else knows, also while nobody listens there: on 127.0.0.1 any peer or connection
+/// that is made meanwhile could be given the port.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let process = std::process::id().to_be_bytes();
+    let host = Ipv4Addr::new(
+        127,
+        64 | process[2],
+        process[3],
+        (NEXT.fetch_add(1, Ordering::SeqCst) % 250) as u8 + 1,
+    );
+    TcpListener::bind((host, 0)).unwrap().local_addr().unwrap()
 }
 
 static FOLDERS: AtomicUsize = AtomicUsize::new(0);
