Keep a request's headers only to their end and until its answer

Cause: server.rs, Link::head kept up to 8 KiB of headers and body, and its allocation, in each idle connection.

--- a/src/bin/nickelshed/server.rs
+++ b/src/bin/nickelshed/server.rs
@@ -31,6 +31,7 @@
 const PATIENCE: Duration = Duration::from_millis(2_500);
 /// Headers of a request in bytes, together: a message's own take a few hundred.
 const MAX_HEAD: usize = 8 << 10;
+const HEAD_END: &[u8] = b"\r\n\r\n";
 /// How long a connection may stand idle that has brought one.
 const IDLE: Duration = Duration::from_secs(75);
 /// From then on an idle one may be closed, where another client needs its place.
@@ -47,8 +48,7 @@
     unfinished: Cell<bool>,
     /// A request has come whole and has no answer yet.
     whole: Cell<bool>,
-    /// What was read since the last answer, as far as it may be a request's headers: the library leaves out a
-    /// length that it does not go by.
+    /// The headers of the next request as they were read: the library leaves out a length that it does not go by.
     head: RefCell<Vec<u8>>,
     /// Requests without their answer.
     busy: Cell<u32>,
@@ -60,20 +60,26 @@
 }
 
 impl Link {
-    /// Notes what was read of the next request.
+    /// Notes what was read of the next request, up to the end of its headers.
     fn note(&self, read: &[u8]) {
         let mut head = self.head.borrow_mut();
+        if head.ends_with(HEAD_END) {
+            return;
+        }
         let room = MAX_HEAD.saturating_sub(head.len());
         head.extend_from_slice(&read[..read.len().min(room)]);
+        if let Some(end) = head.windows(HEAD_END.len()).position(|w| w == HEAD_END) {
+            head.truncate(end + HEAD_END.len());
+        }
     }
 
     /// Whether the request's headers were all seen, and hold no length of the body.
     fn tells_no_length(&self) -> bool {
         let head = self.head.borrow();
-        let Some(end) = head.windows(4).position(|w| w == b"\r\n\r\n") else { return false };
         let named =
             |line: &[u8]| line.split(|&b| b == b':').next().map(|n| n.trim_ascii().to_ascii_lowercase());
-        !head[..end].split(|&b| b == b'\n').any(|line| named(line).as_deref() == Some(b"content-length"))
+        let length = |line: &[u8]| named(line).as_deref() == Some(b"content-length");
+        head.ends_with(HEAD_END) && !head.split(|&b| b == b'\n').any(length)
     }
 
     /// Whether it may lose its place to another client, and which one is to lose it first: one that stands idle
@@ -218,12 +224,13 @@
             heard: Cell::new(now),
             unfinished: Cell::new(!client.whole || !client.read.is_empty()),
             whole: Cell::default(),
-            head: RefCell::new(client.read.to_vec()),
+            head: RefCell::default(),
             busy: Cell::default(),
             ending: Cell::default(),
             end: Notify::new(),
             free: Notify::new(),
         });
+        link.note(&client.read);
         let number = self.next_link.replace(self.next_link.get() + 1);
         self.links.borrow_mut().insert(number, link.clone());
         tokio::task::spawn_local(async move {
@@ -256,7 +263,8 @@
                 link.busy.set(link.busy.get() - 1);
                 link.whole.set(false);
                 link.unfinished.set(false);
-                link.head.borrow_mut().clear();
+                // Not only emptied: as many connections stand idle as there are places.
+                link.head.take();
                 link.used.set(Instant::now());
                 link.free.notify_one();
                 Ok::<_, Infallible>(response)
