--- a/src/bin/nickelshed/server.rs
+++ b/src/bin/nickelshed/server.rs
@@ -459,3 +459,33 @@
     }
     response
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn of_what_a_connection_brings_only_the_headers_are_kept() {
+        let now = Instant::now();
+        let link = Link {
+            used: Cell::new(now),
+            heard: Cell::new(now),
+            unfinished: Cell::default(),
+            whole: Cell::default(),
+            head: RefCell::default(),
+            busy: Cell::default(),
+            ending: Cell::default(),
+            end: Notify::new(),
+            free: Notify::new(),
+        };
+        link.note(b"POST /a HTTP/1.1\r\nHost: x\r\n");
+        assert!(!link.tells_no_length(), "they have not come whole");
+        link.note(b"\r\nContent-Length: 1");
+        link.note(&[b'x'; 4_000]);
+        assert_eq!(*link.head.borrow(), b"POST /a HTTP/1.1\r\nHost: x\r\n\r\n");
+        assert!(link.tells_no_length());
+        link.head.take();
+        link.note(b"POST /a HTTP/1.1\r\ncontent-length : 1\r\n\r\n");
+        assert!(!link.tells_no_length());
+    }
+}
