--- a/src/rules.rs
+++ b/src/rules.rs
@@ -277,8 +277,8 @@
         }
         for entry in entries {
             let (dest, kind, zone) = (entry.dest, entry.kind, entry.zone);
-            // Each sender has an order of its own among equals: a fleet whose senders have a call out each now and
-            // then would else send nearly all of them to the endpoint that its list names first.
+            // Each sender has an order of its own among equals: a fleet whose senders have a call out
+            // now and then would else send nearly all of them to the endpoint that its list names first.
             let lot = (self.random() * f64::from(u32::MAX)) as u32;
             let known = self.endpoints.entry(entry.endpoint).or_insert_with(|| Endpoint { lot, ..unused() });
             (known.dest, known.kind, known.zone) = (dest, kind, zone);
