Answer a message without X-Qos with 400

Cause: the protocol's request names its class in the path and in X-Qos; a request without the header is no proper one, and was taken on (server.rs let a missing or an empty X-Qos pass).

Change: X-Qos has to be there and to be the path's class. The test of malformed input has two rows more, which fail without it.

--- a/src/bin/nickelshed/server.rs
+++ b/src/bin/nickelshed/server.rs
@@ -400,8 +400,8 @@
             headers.get(name).map(|v| v.to_str().map(str::trim).ok().filter(|t| t.len() <= MAX_NAME))
         };
         let name = &self.around.classes[class];
-        if !matches!(text("x-qos"), None | Some(Some(""))) && text("x-qos") != Some(Some(name.as_str())) {
-            return Err("X-Qos is not the class in the path");
+        if text("x-qos") != Some(Some(name.as_str())) {
+            return Err("X-Qos is missing, or not the class in the path");
         }
         let trace = text("x-trace-id").flatten().filter(|t| !t.is_empty());
         let trace = trace.ok_or("X-Trace-Id is missing or malformed")?;
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -808,6 +808,8 @@
     for (name, value) in [
         ("X-Trace-Id", None),
         ("X-Trace-Id", Some("")),
+        ("X-Qos", None),
+        ("X-Qos", Some("")),
         ("X-Qos", Some("other")),
         ("X-Customer", None),
         ("X-Customer", Some("nobody")),
