Add the proving ground: stand-ins, faults, a judge, and cairnpulley demo

Need: everything that comes next has to be proven with several processes and faults between them, and a new user could not run the sender at all, as nothing makes a config.json.

Limits, queues, troubles and cold returns are sans-IO cores. Senders run in process groups of their own, die with the range, and are killed, paused, restarted and moved to another discovery by schedule. crates/cairnpulley is the command line: demo, range run, range check.

--- /dev/null
+++ b/crates/cairnpulley/src/main.rs
@@ -0,0 +1,98 @@
+//! cairnpulley: the command line of the senders' fleet. Arguments and printing; the work is done in the crates below.
+mod logging;
+mod output;
+mod range;
+
+use clap::{Args, Parser, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(version, about = "Runs and proves fleets of senders")]
+struct Cli {
+    /// Form of the log, which goes to standard error.
+    #[arg(long, value_enum, default_value_t, global = true)]
+    log_format: logging::Format,
+    /// What is logged, as `info` or `range=debug`.
+    #[arg(long, default_value = "warn", global = true)]
+    log: String,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays the platform round three real senders, with an outage and a SIGKILL, and judges what came of it.
+    ///
+    /// Exits with 0 if all promises were kept, 1 if one was broken, 3 if the play says nothing of the senders.
+    Demo(Demo),
+    /// The proving ground: experiments with real senders.
+    #[command(subcommand)]
+    Range(Range),
+}
+
+#[derive(Args)]
+struct Demo {
+    /// How long clients hand messages in.
+    #[arg(long, default_value_t = 30.0)]
+    seconds: f64,
+    #[command(flatten)]
+    play: Play,
+}
+
+#[derive(Args)]
+struct Play {
+    /// The seed that everything is drawn from; a new one is drawn and printed if absent.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Prints the verdict as JSON on standard output.
+    #[arg(long)]
+    json: bool,
+    /// The sender's program; that of this build if absent.
+    #[arg(long, value_name = "PATH")]
+    sender: Option<PathBuf>,
+    /// Keeps facts, plan, verdicts and the senders' folders in this folder, which must not exist yet.
+    #[arg(long, value_name = "DIR")]
+    out: Option<PathBuf>,
+}
+
+#[derive(Subcommand)]
+enum Range {
+    /// Plays an experiment with real senders on loopback.
+    ///
+    /// Exits as `demo` does.
+    Run {
+        file: PathBuf,
+        #[command(flatten)]
+        play: Play,
+        /// Sets a value of the file, as `traffic.rate=80`; may be given several times.
+        #[arg(long, value_name = "KEY=VALUE")]
+        set: Vec<String>,
+    },
+    /// Reads an experiment, and prints what would be played.
+    Check {
+        file: PathBuf,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    if let Err(error) = logging::start(cli.log_format, &cli.log) {
+        eprintln!("cairnpulley: --log {}: {error}", cli.log);
+        return output::Exit::Usage.into();
+    }
+    let done = match cli.command {
+        Command::Demo(demo) => range::demo(demo.seconds, &demo.play),
+        Command::Range(Range::Run { file, play, set }) => range::run(&file, &set, &play),
+        Command::Range(Range::Check { file, seed }) => range::check(&file, seed),
+    };
+    match done {
+        Ok(exit) => exit.into(),
+        Err(error) => {
+            eprintln!("cairnpulley: {error}");
+            output::Exit::Usage.into()
+        }
+    }
+}
--- /dev/null
+++ b/crates/range/src/judge/case.rs
@@ -0,0 +1,260 @@
+//! The facts of a play, sorted by what they are about. Nothing is judged here.
+use crate::clock::{Ns, MS, SECOND};
+use crate::ledger::{Fact, Heard, Life, MessageId, Notice, Reply, What};
+use crate::plan::Terms;
+use crate::platform::destination::{CallNo, Refusal};
+use crate::platform::list::Lifecycle;
+use crate::spec::Kind;
+use std::collections::{BTreeMap, HashMap};
+
+/// After a restart no notice is overdue until so long after readiness (PROTOCOL, The rules on sockets).
+const RESTART: Ns = 1_500 * MS;
+/// What discovery has to tell counts as told after so long, and to a new process so long after its readiness.
+const TOLD: Ns = 6 * SECOND;
+const TOLD_NEW: Ns = 2 * SECOND;
+
+#[derive(Debug)]
+pub struct Message {
+    pub id: MessageId,
+    pub request: u32,
+    pub sender: u32,
+    pub due: Ns,
+    pub handed: Ns,
+    pub heard: Option<(Ns, Heard)>,
+    pub notices: Vec<(Ns, Notice)>,
+    /// Places in `Case::calls`.
+    pub calls: Vec<usize>,
+}
+
+impl Message {
+    pub fn taken(&self) -> Option<Ns> {
+        self.heard.filter(|(_, h)| *h == Heard::Taken).map(|(at, _)| at)
+    }
+}
+
+#[derive(Debug)]
+pub struct Call {
+    pub number: CallNo,
+    pub message: MessageId,
+    pub sender: u32,
+    pub endpoint: u32,
+    pub first: Ns,
+    pub last: Ns,
+    pub intact: bool,
+    pub effects: Vec<Ns>,
+    pub reply: Option<(Ns, Reply)>,
+}
+
+#[derive(Debug)]
+pub struct Request {
+    pub at: Ns,
+    pub sender: u32,
+    pub dest: u32,
+    pub class: usize,
+    pub messages: Vec<MessageId>,
+}
+
+#[derive(Debug)]
+pub struct Stranger<'a> {
+    pub at: Ns,
+    pub sender: u32,
+    pub form: &'a str,
+    pub within: Ns,
+    pub answered: Option<Ns>,
+    pub taken: bool,
+}
+
+pub struct Case<'a> {
+    pub terms: &'a Terms,
+    /// When the last fact was noted.
+    pub end: Ns,
+    pub requests: BTreeMap<u32, Request>,
+    pub messages: BTreeMap<MessageId, Message>,
+    pub calls: Vec<Call>,
+    pub nameless: Vec<(Ns, u32, u32)>,
+    pub strangers: Vec<Stranger<'a>>,
+    pub probes: usize,
+    pub connections: usize,
+    /// By sender, in order.
+    pub lives: Vec<Vec<(Ns, Life)>>,
+    /// By destination: troubles that make its return cold, with their ends.
+    pub outages: HashMap<u32, Vec<(Ns, Ns)>>,
+    pub falls: Vec<(Ns, u32)>,
+    changes: Vec<(Ns, u32, Lifecycle)>,
+    told: HashMap<(u32, u32), Vec<(Ns, Lifecycle)>>,
+}
+
+impl<'a> Case<'a> {
+    pub fn new(terms: &'a Terms, facts: &'a [Fact]) -> Case<'a> {
+        let mut case = Case {
+            terms,
+            end: facts.last().map_or(0, |f| f.at),
+            requests: BTreeMap::new(),
+            messages: BTreeMap::new(),
+            calls: Vec::new(),
+            nameless: Vec::new(),
+            strangers: Vec::new(),
+            probes: 0,
+            connections: 0,
+            lives: vec![Vec::new(); terms.senders],
+            outages: HashMap::new(),
+            falls: Vec::new(),
+            changes: Vec::new(),
+            told: HashMap::new(),
+        };
+        let mut places = HashMap::new();
+        for fact in facts {
+            case.add(fact.at, &fact.what, &mut places);
+        }
+        case
+    }
+
+    fn add(&mut self, at: Ns, what: &'a What, places: &mut HashMap<CallNo, usize>) {
+        match *what {
+            What::Asked { request, sender, dest, class, planned } => {
+                let new = Request { at: planned, sender, dest, class, messages: Vec::new() };
+                self.requests.insert(request, new);
+            }
+            What::HandedIn { message: id, request, sender, due } => {
+                if let Some(asked) = self.requests.get_mut(&request) {
+                    asked.messages.push(id);
+                }
+                let (heard, notices, calls) = (None, Vec::new(), Vec::new());
+                // A client that sends a message once more on a new connection hands it in once.
+                self.messages.entry(id).or_insert(Message {
+                    id,
+                    request,
+                    sender,
+                    due,
+                    handed: at,
+                    heard,
+                    notices,
+                    calls,
+                });
+            }
+            What::Heard { message, heard } => {
+                if let Some(m) = self.messages.get_mut(&message) {
+                    m.heard = Some((at, heard));
+                }
+            }
+            What::Called { call: number, message, sender, endpoint, first, intact } => {
+                places.insert(number, self.calls.len());
+                if let Some(m) = self.messages.get_mut(&message) {
+                    m.calls.push(self.calls.len());
+                }
+                let (effects, reply) = (Vec::new(), None);
+                let call =
+                    Call { number, message, sender, endpoint, first, last: at, intact, effects, reply };
+                self.calls.push(call);
+            }
+            What::Effect { call } => {
+                if let Some(place) = places.get(&call) {
+                    self.calls[*place].effects.push(at);
+                }
+            }
+            What::Replied { call, reply } => {
+                if let Some(place) = places.get(&call) {
+                    self.calls[*place].reply = Some((at, reply));
+                }
+            }
+            // A call that the sender left may have run, as one without a reply.
+            What::Left { .. } => {}
+            What::Nameless { sender, endpoint } => self.nameless.push((at, sender, endpoint)),
+            What::Probed { .. } => self.probes += 1,
+            What::Connected { .. } => self.connections += 1,
+            What::Notice { message, notice, .. } => {
+                if let Some(m) = self.messages.get_mut(&message) {
+                    m.notices.push((at, notice));
+                }
+            }
+            What::Changed { endpoint, lifecycle } => self.changes.push((at, endpoint, lifecycle)),
+            What::Told { sender, endpoint, lifecycle } => {
+                self.told.entry((sender, endpoint)).or_default().push((at, lifecycle));
+            }
+            What::Process { sender, life } => {
+                if let Some(lives) = self.lives.get_mut(sender as usize) {
+                    lives.push((at, life));
+                }
+            }
+            What::Trouble { dest, kind, begins } => {
+                if matches!(kind, Kind::Down | Kind::Silent | Kind::Shut | Kind::Failing) {
+                    let outages = self.outages.entry(dest).or_default();
+                    match (begins, outages.last_mut()) {
+                        (false, Some(last)) => last.1 = at,
+                        _ => outages.push((at, Ns::MAX)),
+                    }
+                }
+            }
+            What::Fell { endpoint } => self.falls.push((at, endpoint)),
+            What::Stranger { sender, ref form, within, answered, taken } => {
+                self.strangers.push(Stranger { at, sender, form, within, answered, taken });
+            }
+        }
+    }
+
+    pub fn class_of(&self, message: &Message) -> Option<usize> {
+        self.requests.get(&message.request).map(|r| r.class)
+    }
+
+    /// When a message was over: delivered, ended by a notice, or called over by an endpoint.
+    pub fn ended(&self, message: &Message) -> Option<Ns> {
+        let over = |reply: Reply| matches!(reply, Reply::Refused { why: Refusal::Over, .. });
+        let called_over = message.calls.iter().filter_map(|c| self.calls[*c].reply).filter(|r| over(r.1));
+        let notices = message.notices.iter().map(|(at, _)| *at);
+        self.delivered(message).into_iter().chain(notices).chain(called_over.map(|r| r.0)).min()
+    }
+
+    /// When a first line with 200 was written for it.
+    pub fn delivered(&self, message: &Message) -> Option<Ns> {
+        let replies = message.calls.iter().filter_map(|c| self.calls[*c].reply);
+        replies.filter(|(_, r)| *r == Reply::Delivered).map(|(at, _)| at).min()
+    }
+
+    /// Whether notices of a sender may be late at a time: from a restart's signal until 1.5 s after readiness. A
+    /// sender that is held by the schedule can't send any either.
+    pub fn excused(&self, sender: u32, at: Ns) -> bool {
+        let mut down = false;
+        for (when, life) in &self.lives[sender as usize] {
+            let excuse_until = match life {
+                Life::Terminated | Life::Killed | Life::Paused => {
+                    down = *when <= at;
+                    continue;
+                }
+                Life::Ready | Life::Continued => when + RESTART,
+                _ => continue,
+            };
+            if down && at <= excuse_until {
+                return true;
+            }
+            down = false;
+        }
+        down
+    }
+
+    /// A sender's folder was emptied after a time: what it owed then is lost with its machine.
+    pub fn emptied_after(&self, sender: u32, at: Ns) -> bool {
+        self.lives[sender as usize].iter().any(|(when, life)| *life == Life::Emptied && *when >= at)
+    }
+
+    /// A sender was started anew, or ended, in a span.
+    pub fn restarted(&self, sender: u32, from: Ns, to: Ns) -> bool {
+        let ends = |life: &Life| matches!(life, Life::Killed | Life::Terminated | Life::Started);
+        self.lives[sender as usize].iter().any(|(at, life)| ends(life) && (from..=to).contains(at))
+    }
+
+    /// Since when a sender has been told, at a time, that an endpoint wants nothing new.
+    pub fn told_off(&self, sender: u32, endpoint: u32, at: Ns) -> Option<Ns> {
+        let ready = self.lives[sender as usize].iter().filter(|(when, l)| *l == Life::Ready && *when <= at);
+        let ready = ready.map(|(when, _)| *when).max().unwrap_or(0);
+        let counted = self
+            .changes
+            .iter()
+            .filter(|c| c.1 == endpoint)
+            .map(|c| ((c.0 + TOLD).max(ready + TOLD_NEW), c.2));
+        let told = self.told.get(&(sender, endpoint)).into_iter().flatten().copied();
+        let mut all: Vec<(Ns, Lifecycle)> = counted.chain(told).filter(|(when, _)| *when <= at).collect();
+        all.sort_by_key(|(when, _)| *when);
+        let since_ready = all.iter().rposition(|(_, l)| *l == Lifecycle::Ready).map_or(0, |i| i + 1);
+        all.get(since_ready).map(|(when, _)| *when)
+    }
+}
--- /dev/null
+++ b/crates/range/src/plan.rs
@@ -0,0 +1,662 @@
+//! What the seed draws from an experiment: destinations, endpoints, settings, arrivals and the schedule. All of it
+//! is data, drawn ahead, and the same whenever seed and experiment are.
+use crate::clock::{seconds, Ns, MS, SECOND};
+use crate::platform::limit::Form;
+use crate::seed::Seed;
+use crate::spec::{Event, Folder, Kind, Spec};
+use rand::{Rng, RngExt};
+use rand_distr::{Distribution, Exp, LogNormal};
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+
+/// The classes in the order of their numbers: the brief, 5.
+pub const RATE_PUSH: usize = 0;
+pub const BOOKING: usize = 1;
+/// How long a replaced endpoint drains before it is gone.
+const DRAIN: Ns = 4 * SECOND;
+
+/// A class of message.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+pub struct Class {
+    pub name: String,
+    /// Delivered within it, a message earns its full worth.
+    pub aim: Ns,
+    pub deadline: Ns,
+    pub worth: f64,
+    /// Share of the worth that is left at the deadline.
+    pub late_worth: f64,
+    pub may_repeat: bool,
+    /// Mean work at an endpoint of usual pace.
+    pub work: Ns,
+}
+
+/// What the judge goes by: the figures of the pages, and whom each endpoint belongs to.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+pub struct Terms {
+    pub senders: usize,
+    pub classes: Vec<Class>,
+    /// The destination of each endpoint, by number; those that come later included.
+    pub dest_of: Vec<u32>,
+    pub max_attempts: usize,
+    /// The play's part in which messages are asked for.
+    pub asking: Ns,
+    /// How long a cold destination has to be sent too much before it falls over.
+    pub fall: Ns,
+}
+
+#[derive(Clone, Debug, Serialize, PartialEq)]
+pub struct Destination {
+    pub flagship: bool,
+    /// Share of all messages.
+    pub share: f64,
+    pub form: Form,
+    /// Calls a second from all senders together.
+    pub per_s: f64,
+    pub counts_refused: bool,
+    /// Share of refusals that tell a wait, and that wait where the limit does not give one.
+    pub tells: f64,
+    pub wait: Ns,
+    /// Work takes so many times as long as at an endpoint of usual pace.
+    pub pace: f64,
+    pub endpoints: Vec<u32>,
+}
+
+#[derive(Clone, Debug, Serialize, PartialEq)]
+pub struct Endpoint {
+    pub name: String,
+    pub dest: u32,
+    pub zone: u32,
+    /// Calls served at once, and those that may wait for it.
+    pub slots: usize,
+    pub queue: usize,
+    /// Connections that it holds, idle ones included; none if there is no bound.
+    pub connections: Option<usize>,
+    /// Listed from the beginning; else it takes another's place.
+    pub listed: bool,
+}
+
+#[derive(Clone, Debug, Serialize, PartialEq)]
+pub struct Sender {
+    pub name: String,
+    /// Share of all messages.
+    pub share: f64,
+    pub slots: usize,
+    pub max_open: usize,
+}
+
+/// A message that a client wants delivered.
+#[derive(Clone, Debug, Serialize, PartialEq)]
+pub struct Arrival {
+    pub at: Ns,
+    pub sender: u32,
+    pub dest: u32,
+    pub class: usize,
+    /// What it is to an endpoint of usual pace.
+    pub work: Ns,
+    /// Bytes of its body.
+    pub size: usize,
+}
+
+/// Something that happens at a time. Each trouble has two: its beginning and its end.
+#[derive(Clone, Debug, Serialize, PartialEq)]
+pub struct Step {
+    pub at: Ns,
+    pub does: Does,
+}
+
+#[derive(Clone, Debug, Serialize, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Does {
+    /// A destination's trouble begins (`size` as in the experiment) or ends.
+    Begin {
+        dest: u32,
+        kind: Kind,
+        size: f64,
+        until: Ns,
+    },
+    End {
+        dest: u32,
+        kind: Kind,
+    },
+    /// An endpoint drains, is gone, or is listed for the first time.
+    Drain {
+        endpoint: u32,
+    },
+    Gone {
+        endpoint: u32,
+    },
+    Add {
+        endpoint: u32,
+    },
+    Kill {
+        sender: u32,
+    },
+    Terminate {
+        sender: u32,
+    },
+    Pause {
+        sender: u32,
+    },
+    Continue {
+        sender: u32,
+    },
+    Start {
+        sender: u32,
+        folder: Folder,
+    },
+    Discovery {
+        kind: Kind,
+        begins: bool,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    pub seed: Seed,
+    pub spec: Spec,
+    pub terms: Terms,
+    pub destinations: Vec<Destination>,
+    pub endpoints: Vec<Endpoint>,
+    pub senders: Vec<Sender>,
+    pub arrivals: Vec<Arrival>,
+    pub schedule: Vec<Step>,
+}
+
+/// Classes as the brief states them (2.1, 5.1, 5.2); work is the middle of its range.
+pub fn classes() -> Vec<Class> {
+    vec![
+        Class {
+            name: "rate-push".into(),
+            aim: 2 * SECOND,
+            deadline: 20 * SECOND,
+            worth: 1.0,
+            late_worth: 0.4,
+            may_repeat: true,
+            work: 160 * MS,
+        },
+        Class {
+            name: "booking".into(),
+            aim: 3 * SECOND,
+            deadline: 16 * SECOND,
+            worth: 3.0,
+            late_worth: 0.5,
+            may_repeat: false,
+            work: 245 * MS,
+        },
+    ]
+}
+
+fn between(random: &mut impl Rng, [low, high]: [f64; 2]) -> f64 {
+    low + (high - low) * random.random::<f64>()
+}
+
+/// A number drawn by weight.
+fn pick(random: &mut impl Rng, weights: &[f64]) -> usize {
+    let mut at = random.random::<f64>() * weights.iter().sum::<f64>();
+    for (i, weight) in weights.iter().enumerate() {
+        at -= weight;
+        if at < 0.0 {
+            return i;
+        }
+    }
+    weights.len().saturating_sub(1)
+}
+
+impl Plan {
+    pub fn draw(spec: &Spec, seed: Seed) -> Plan {
+        let classes = classes();
+        let mut destinations = destinations(spec, seed);
+        let mut endpoints = endpoints(spec, seed, &mut destinations, &classes);
+        let senders = senders(spec, seed, &classes);
+        let struck = strike(spec, seed, &destinations, &senders);
+        let schedule = schedule(&struck, &destinations, &mut endpoints);
+        let arrivals = arrivals(spec, seed, &destinations, &senders, &struck, &classes);
+        let terms = Terms {
+            senders: senders.len(),
+            dest_of: endpoints.iter().map(|e| e.dest).collect(),
+            classes,
+            max_attempts: 8,
+            asking: seconds(spec.seconds),
+            fall: 3 * SECOND,
+        };
+        Plan { seed, spec: spec.clone(), terms, destinations, endpoints, senders, arrivals, schedule }
+    }
+
+    /// The object that a sender finds under `settings`, as WIRE names it.
+    pub fn settings(&self, sender: usize) -> Value {
+        let services: Vec<Value> = self.terms.classes.iter().map(service).collect();
+        let zones: Vec<String> = (0..self.spec.platform.zones).map(zone_name).collect();
+        let one = &self.senders[sender];
+        json!({
+            "Clients": {"MarksRetry": true}, "Discovery": "automatic", "Family": "deliver",
+            "FamilyInfo": {"CallsOut": one.slots, "Decay": "line", "KindBatch": [1, 1], "RefusalCost": 0.03,
+                "RouteFee": [0.0], "SeparateRoutes": [false, false]},
+            "Feedback": {"Fields": [], "Source": "silent"}, "Kinds": ["flagship", "independent"],
+            "Limits": {"Cancel": true, "DialTimeoutNs": SECOND, "IdleCloseNs": 10 * SECOND,
+                "MaxAttempts": self.terms.max_attempts, "MaxOpen": one.max_open,
+                "MaxRetryAfterNs": 2 * SECOND, "MayDuplicate": true, "Peers": false, "Probes": true,
+                "RetryAfter": true, "StreamsPerConn": 1},
+            "Localities": zones, "NInstances": self.senders.len(), "Position": sender,
+            "Prices": {"CrossZone": 0.0, "Handshake": 0.02, "LateFail": 0.015, "Probe": 0.01, "Waste": 0.086},
+            "Realms": [],
+            "Safety": {"AnswerSlackNs": 20 * MS, "ColdNs": seconds(self.spec.platform.cold_s),
+                "FallMultiple": crate::platform::destination::FALL_MULTIPLE, "OverloadForNs": self.terms.fall,
+                "StartCapacity": self.spec.platform.cold_from, "StopSendingWithinNs": 500 * MS},
+            "Services": services, "Stages": ["channels"], "TickNs": 5 * MS, "Tier": 0, "Weights": "nominal",
+            "WorthBy": "request", "Zone": 0,
+        })
+    }
+}
+
+pub fn zone_name(zone: u32) -> String {
+    format!("sapporo-{}", zone + 1)
+}
+
+fn service(class: &Class) -> Value {
+    let effect = if class.may_repeat { "safe" } else { "unsafe" };
+    json!({"Name": class.name, "PromiseNs": class.aim, "DeadlineNs": class.deadline, "Effect": effect,
+        "DedupScope": "all", "WindowNs": 5 * SECOND, "Worth": class.worth, "LateWorth": class.late_worth,
+        "Streamed": false})
+}
+
+/// Shares by Zipf; flagships are the largest (6.3). Limits by the calls at full load (6.3, 6.4).
+fn destinations(spec: &Spec, seed: Seed) -> Vec<Destination> {
+    let mut random = seed.stream("destinations", 0);
+    let (traffic, platform) = (&spec.traffic, &spec.platform);
+    let zipf = |i: u32| f64::from(i + 1).powf(-traffic.zipf);
+    let all: f64 = (0..platform.destinations).map(zipf).sum();
+    let flagships: f64 = (0..platform.flagships).map(zipf).sum();
+    let full = traffic.rate / traffic.load;
+    (0..platform.destinations)
+        .map(|i| {
+            let flagship = i < platform.flagships;
+            let bookings = if flagship { traffic.booking * zipf(i) / flagships } else { 0.0 };
+            let share = bookings + (1.0 - traffic.booking) * zipf(i) / all;
+            let (headroom, least, tells, wait, slow) = match flagship {
+                true => ([0.91, 1.8], [2.5, 4.6], [0.52, 0.89], [0.41, 0.94], 0.48),
+                false => ([1.2, 1.8], [1.5, 3.9], [0.04, 0.55], [0.2, 0.97], 0.62),
+            };
+            let slow = LogNormal::<f64>::new(0.0, slow).expect("a finite deviation");
+            Destination {
+                flagship,
+                share,
+                form: if flagship { Form::Rate } else { Form::Window },
+                per_s: (full * share * between(&mut random, headroom)).max(between(&mut random, least)),
+                counts_refused: !flagship,
+                tells: between(&mut random, tells),
+                wait: seconds(between(&mut random, wait)),
+                pace: slow.sample(&mut random).clamp(0.3, 4.0),
+                endpoints: Vec::new(),
+            }
+        })
+        .collect()
+}
+
+/// One for each destination, the others by traffic, four at most (6.1). Slots by capacity over the limit.
+fn endpoints(spec: &Spec, seed: Seed, dests: &mut [Destination], classes: &[Class]) -> Vec<Endpoint> {
+    let mut random = seed.stream("endpoints", 0);
+    let mut counts = vec![1usize; dests.len()];
+    for _ in dests.len()..spec.platform.endpoints as usize {
+        let room =
+            |(d, count): (&Destination, &usize)| if *count < 4 { d.share / *count as f64 } else { 0.0 };
+        let weights: Vec<f64> = dests.iter().zip(&counts).map(room).collect();
+        counts[pick(&mut random, &weights)] += 1;
+    }
+    let mut all = Vec::new();
+    for (number, (dest, count)) in dests.iter_mut().zip(counts).enumerate() {
+        let class = if dest.flagship { BOOKING } else { RATE_PUSH };
+        let work = classes[class].work as f64 / SECOND as f64 * dest.pace;
+        let spare = between(&mut random, if dest.flagship { [1.2, 1.6] } else { [1.3, 1.6] });
+        let each = dest.per_s * spare / count as f64;
+        let slots = (each * work).ceil().max(1.0);
+        let depth = between(&mut random, [0.4, 0.99]);
+        let connections = (slots * between(&mut random, [2.1, 3.9])).max(between(&mut random, [8.3, 16.0]));
+        for _ in 0..count {
+            dest.endpoints.push(all.len() as u32);
+            all.push(Endpoint {
+                name: format!("s-{:08x}", random.next_u32()),
+                dest: number as u32,
+                zone: all.len() as u32 % spec.platform.zones,
+                slots: slots as usize,
+                queue: (each * depth).ceil().max(2.0) as usize,
+                connections: (!dest.flagship).then_some(connections as usize),
+                listed: true,
+            });
+        }
+    }
+    all
+}
+
+/// Shares spread by a lognormal; slots 2 to 2.4 times what a sender's part keeps busy, places for 6.4 to 12 s (7.3).
+fn senders(spec: &Spec, seed: Seed, classes: &[Class]) -> Vec<Sender> {
+    let mut random = seed.stream("senders", 0);
+    let spread = LogNormal::new(0.0, spec.traffic.sender_spread).expect("a finite deviation");
+    let weights: Vec<f64> = (0..spec.senders).map(|_| spread.sample(&mut random)).collect();
+    let all: f64 = weights.iter().sum();
+    let booking = spec.traffic.booking;
+    let work = classes[RATE_PUSH].work as f64 * (1.0 - booking) + classes[BOOKING].work as f64 * booking;
+    let full = spec.traffic.rate / spec.traffic.load;
+    weights
+        .iter()
+        .enumerate()
+        .map(|(i, weight)| {
+            let share = weight / all;
+            let busy = full * share * work / SECOND as f64;
+            Sender {
+                name: format!("n{i}"),
+                share,
+                slots: (busy * between(&mut random, [2.0, 2.4])).ceil().max(2.0) as usize,
+                max_open: (full * share * between(&mut random, [6.4, 12.0])).ceil().max(16.0) as usize,
+            }
+        })
+        .collect()
+}
+
+/// An event with those that it strikes.
+struct Struck<'a> {
+    event: &'a Event,
+    kind: Kind,
+    at: Ns,
+    until: Ns,
+    numbers: Vec<u32>,
+}
+
+fn strike<'a>(spec: &'a Spec, seed: Seed, dests: &[Destination], senders: &[Sender]) -> Vec<Struck<'a>> {
+    let one = |(i, event): (usize, &'a Event)| {
+        let kind = *event.what.get_ref();
+        let weights: Vec<f64> = match kind {
+            _ if kind.of_discovery() => Vec::new(),
+            // The part is a share of the senders, whatever traffic they have.
+            _ if kind.of_senders() => vec![1.0 / senders.len() as f64; senders.len()],
+            _ => dests.iter().map(|d| d.share).collect(),
+        };
+        let at = seconds(event.at);
+        let numbers = match event.part {
+            Some(part) => draw_part(&mut seed.stream("struck", i as u64), weights, part),
+            None => event.which.clone(),
+        };
+        Struck { event, kind, at, until: at + seconds(event.lasts), numbers }
+    };
+    spec.event.iter().enumerate().map(one).collect()
+}
+
+/// Numbers drawn by weight until they make up at least `part` of the whole.
+fn draw_part(random: &mut impl Rng, mut weights: Vec<f64>, part: f64) -> Vec<u32> {
+    let whole: f64 = weights.iter().sum();
+    let (mut sum, mut numbers) = (0.0, Vec::new());
+    // A hair less, as shares don't add up exactly.
+    while sum < (part - 1e-9) * whole && numbers.len() < weights.len() {
+        let next = pick(random, &weights);
+        sum += std::mem::take(&mut weights[next]);
+        numbers.push(next as u32);
+    }
+    numbers.sort_unstable();
+    numbers.dedup();
+    numbers
+}
+
+fn schedule(struck: &[Struck], dests: &[Destination], endpoints: &mut Vec<Endpoint>) -> Vec<Step> {
+    let mut steps = Vec::new();
+    for s in struck {
+        let mut step = |at: Ns, does: Does| steps.push(Step { at, does });
+        if s.kind.of_discovery() {
+            step(s.at, Does::Discovery { kind: s.kind, begins: true });
+            if s.kind != Kind::DiscoveryMoves {
+                step(s.until, Does::Discovery { kind: s.kind, begins: false });
+            }
+            continue;
+        }
+        for &number in &s.numbers {
+            match s.kind {
+                Kind::Kill => {
+                    step(s.at, Does::Kill { sender: number });
+                    step(s.until, Does::Start { sender: number, folder: s.event.folder });
+                }
+                Kind::Terminate => {
+                    step(s.at, Does::Terminate { sender: number });
+                    // SIGKILL comes no sooner than 3.7 s after SIGTERM (PROTOCOL, Figures).
+                    step(s.at + 3_700 * MS, Does::Kill { sender: number });
+                    let at = s.until + 3_700 * MS;
+                    step(at, Does::Start { sender: number, folder: s.event.folder });
+                }
+                Kind::Pause => {
+                    step(s.at, Does::Pause { sender: number });
+                    step(s.until, Does::Continue { sender: number });
+                }
+                Kind::Replace => {
+                    let Some(&old) = dests[number as usize].endpoints.get(1) else { continue };
+                    let new = endpoints.len() as u32;
+                    let template = endpoints[old as usize].clone();
+                    let name = format!("{}-b", template.name);
+                    endpoints.push(Endpoint { name, listed: false, ..template });
+                    step(s.at, Does::Drain { endpoint: old });
+                    step(s.at + DRAIN, Does::Gone { endpoint: old });
+                    step(s.until.max(s.at + DRAIN), Does::Add { endpoint: new });
+                }
+                // Hot ones only change the arrivals.
+                Kind::HotDestination | Kind::HotSender => {}
+                kind => {
+                    let size = s.event.size.unwrap_or(1.0);
+                    step(s.at, Does::Begin { dest: number, kind, size, until: s.until });
+                    step(s.until, Does::End { dest: number, kind });
+                }
+            }
+        }
+    }
+    steps.sort_by_key(|s| s.at);
+    steps
+}
+
+/// How much traffic there is at a time, as a multiple of the mean: a wave of 20 s.
+fn wave(spec: &Spec, at: Ns) -> f64 {
+    1.0 + spec.traffic.swing * (at as f64 / (20 * SECOND) as f64 * std::f64::consts::TAU).sin()
+}
+
+fn arrivals(
+    spec: &Spec,
+    seed: Seed,
+    dests: &[Destination],
+    senders: &[Sender],
+    struck: &[Struck],
+    classes: &[Class],
+) -> Vec<Arrival> {
+    let end = seconds(spec.seconds);
+    let traffic = &spec.traffic;
+    let mut random = seed.stream("arrivals", 0);
+    let mut draw = Draw::new(seed, spec, dests, senders, struck, classes);
+    let mut all = Vec::new();
+    // Thinned from the highest rate that it can have: Poisson, with a rate that changes.
+    let top = traffic.rate * (1.0 - traffic.clumps) * (1.0 + traffic.swing) * (1.0 + draw.hottest());
+    let gap = Exp::new(top / SECOND as f64).expect("a positive rate");
+    let mut at = 0.0;
+    loop {
+        at += gap.sample(&mut random);
+        let now = at as Ns;
+        if now >= end {
+            break;
+        }
+        let rate = traffic.rate * (1.0 - traffic.clumps) * wave(spec, now) * (1.0 + draw.hot(now));
+        if random.random::<f64>() * top < rate {
+            all.push(draw.message(now, None));
+        }
+    }
+    let clumped = (traffic.rate * traffic.clumps * spec.seconds) as usize;
+    let mut random = seed.stream("clumps", 0);
+    let mut sent = 0;
+    while sent < clumped {
+        let shares: Vec<f64> = dests.iter().map(|d| d.share).collect();
+        let dest = pick(&mut random, &shares);
+        let size = (dests[dest].per_s * between(&mut random, traffic.clump_s)).ceil() as usize;
+        let from = (random.random::<f64>() * end as f64) as Ns;
+        for _ in 0..size.min(clumped - sent) {
+            // Half a second for all of it.
+            let at = from + (random.random::<f64>() * 0.5 * SECOND as f64) as Ns;
+            all.push(draw.message(at.min(end - 1), Some(dest)));
+        }
+        sent += size;
+    }
+    all.sort_by_key(|a| a.at);
+    all
+}
+
+/// Draws single messages.
+struct Draw<'a> {
+    random: rand_chacha::ChaCha8Rng,
+    dests: &'a [Destination],
+    struck: &'a [Struck<'a>],
+    classes: &'a [Class],
+    booking: f64,
+    dest_weights: Vec<f64>,
+    flagship_weights: Vec<f64>,
+    sender_weights: Vec<f64>,
+    /// Work of each class, as a multiple of its mean (5.1: exponential; 5.2: lognormal).
+    spread: (Exp<f64>, LogNormal<f64>),
+}
+
+impl<'a> Draw<'a> {
+    fn new(
+        seed: Seed,
+        spec: &Spec,
+        dests: &'a [Destination],
+        senders: &[Sender],
+        struck: &'a [Struck<'a>],
+        classes: &'a [Class],
+    ) -> Draw<'a> {
+        let zipf = |i: usize| (i as f64 + 1.0).powf(-spec.traffic.zipf);
+        let flagship = |(i, d): (usize, &Destination)| if d.flagship { zipf(i) } else { 0.0 };
+        let exp = Exp::new(1.0).expect("a positive rate");
+        // Mean 1 and a coefficient of variation of 0.9.
+        let deviation = (1.0 + 0.9f64 * 0.9).ln();
+        let lognormal = LogNormal::new(-deviation / 2.0, deviation.sqrt()).expect("a finite deviation");
+        Draw {
+            random: seed.stream("messages", 0),
+            dests,
+            struck,
+            classes,
+            booking: spec.traffic.booking,
+            dest_weights: (0..dests.len()).map(zipf).collect(),
+            flagship_weights: dests.iter().enumerate().map(flagship).collect(),
+            sender_weights: senders.iter().map(|s| s.share).collect(),
+            spread: (exp, lognormal),
+        }
+    }
+
+    fn hot_ones(&self, at: Ns) -> impl Iterator<Item = &Struck<'a>> + use<'_, 'a> {
+        let hot = |s: &&Struck| matches!(s.kind, Kind::HotDestination | Kind::HotSender);
+        self.struck.iter().filter(hot).filter(move |s| (s.at..s.until).contains(&at))
+    }
+
+    /// Further traffic at a time, as a share of the usual.
+    fn hot(&self, at: Ns) -> f64 {
+        self.hot_ones(at).filter_map(|s| s.event.size).map(|size| size / (1.0 - size)).sum()
+    }
+
+    fn hottest(&self) -> f64 {
+        let size = |s: &Struck| s.event.size.map_or(0.0, |size| size / (1.0 - size));
+        self.struck
+            .iter()
+            .filter(|s| matches!(s.kind, Kind::HotDestination | Kind::HotSender))
+            .map(size)
+            .sum()
+    }
+
+    fn message(&mut self, at: Ns, dest: Option<usize>) -> Arrival {
+        let hot = self.hot(at);
+        let mut sender = None;
+        let mut hot_dest = None;
+        if self.random.random::<f64>() * (1.0 + hot) < hot {
+            let ones: Vec<(Kind, f64, Vec<u32>)> =
+                self.hot_ones(at).map(|s| (s.kind, s.event.size.unwrap_or(0.0), s.numbers.clone())).collect();
+            let weights: Vec<f64> = ones.iter().map(|o| o.1 / (1.0 - o.1)).collect();
+            let (kind, _, numbers) = &ones[pick(&mut self.random, &weights)];
+            let number = numbers[self.random.random_range(0..numbers.len())] as usize;
+            match kind {
+                Kind::HotSender => sender = Some(number),
+                _ => hot_dest = Some(number),
+            }
+        }
+        let sender = sender.unwrap_or_else(|| pick(&mut self.random, &self.sender_weights));
+        let bookable = |d: usize| self.dests[d].flagship;
+        let class = match dest.or(hot_dest) {
+            Some(d) if !bookable(d) => RATE_PUSH,
+            _ if self.random.random::<f64>() < self.booking => BOOKING,
+            _ => RATE_PUSH,
+        };
+        let dest = dest.or(hot_dest).unwrap_or_else(|| {
+            let weights = if class == BOOKING { &self.flagship_weights } else { &self.dest_weights };
+            pick(&mut self.random, weights)
+        });
+        let spread = match class {
+            BOOKING => self.spread.1.sample(&mut self.random),
+            _ => self.spread.0.sample(&mut self.random),
+        };
+        let work = self.classes[class].work as f64 * spread;
+        Arrival {
+            at,
+            sender: sender as u32,
+            dest: dest as u32,
+            class,
+            work: (work as Ns).max(MS),
+            size: self.random.random_range(100..1_000),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn spec(text: &str) -> Spec {
+        Spec::parse(std::path::Path::new("test.toml"), text).unwrap()
+    }
+
+    #[test]
+    fn a_seed_draws_one_plan_and_another_seed_another() {
+        let spec = Spec::default();
+        assert_eq!(Plan::draw(&spec, Seed(5)), Plan::draw(&spec, Seed(5)));
+        assert_ne!(Plan::draw(&spec, Seed(5)).arrivals, Plan::draw(&spec, Seed(6)).arrivals);
+    }
+
+    #[test]
+    fn arrivals_have_the_rate_the_shares_and_the_classes_asked_for() {
+        let spec = spec("seconds = 400\n[traffic]\nrate = 50.0");
+        let plan = Plan::draw(&spec, Seed(1));
+        let count = plan.arrivals.len() as f64;
+        assert!((count / 20_000.0 - 1.0).abs() < 0.05, "{count} of 20000");
+        let bookings = plan.arrivals.iter().filter(|a| a.class == BOOKING);
+        assert!(bookings.clone().all(|a| plan.destinations[a.dest as usize].flagship));
+        // Clumps for a destination that takes no bookings hold none.
+        assert!((0.33..0.41).contains(&(bookings.count() as f64 / count)));
+        let to_first = plan.arrivals.iter().filter(|a| a.dest == 0).count() as f64 / count;
+        let share = plan.destinations[0].share;
+        assert!((to_first - share).abs() < 0.05, "{to_first} of the messages for a share of {share}");
+        assert!(plan.arrivals.windows(2).all(|w| w[0].at <= w[1].at));
+    }
+
+    #[test]
+    fn a_hot_destination_draws_its_further_share_while_it_is_hot() {
+        let hot = "seconds = 200\n[[event]]\nwhat = 'hot-destination'\nat = 100\nfor = 100\nwhich = [7]\nsize = 0.4";
+        let plan = Plan::draw(&spec(hot), Seed(3));
+        let share = |from: Ns, to: Ns| {
+            let of = plan.arrivals.iter().filter(|a| (from..to).contains(&a.at));
+            of.clone().filter(|a| a.dest == 7).count() as f64 / of.count() as f64
+        };
+        let (before, after) = (share(0, 100 * SECOND), share(100 * SECOND, 200 * SECOND));
+        assert!(before < 0.1 && (after - before - 0.4).abs() < 0.08, "{before}, then {after}");
+    }
+
+    #[test]
+    fn events_strike_the_part_asked_for_and_end() {
+        let text = "[[event]]\nwhat = 'shut'\nat = 5\nfor = 7\npart = 0.2\n[[event]]\nwhat = 'kill'\nat = 9\nfor = 1\npart = 0.5";
+        let plan = Plan::draw(&spec(text), Seed(11));
+        let begun = |s: &&Step| matches!(s.does, Does::Begin { .. });
+        let shares = plan.schedule.iter().filter(begun).map(|s| match s.does {
+            Does::Begin { dest, .. } => plan.destinations[dest as usize].share,
+            _ => 0.0,
+        });
+        assert!(shares.sum::<f64>() >= 0.2);
+        let kills = plan.schedule.iter().filter(|s| matches!(s.does, Does::Kill { .. })).count();
+        let starts = plan.schedule.iter().filter(|s| matches!(s.does, Does::Start { .. })).count();
+        assert_eq!((kills, starts), (2, 2), "half of three senders is two");
+    }
+}
--- /dev/null
+++ b/crates/range/tests/play.rs
@@ -0,0 +1,73 @@
+//! Whole plays: real senders as processes, and what a range does with those that misbehave.
+use range::judge::Rule;
+use range::ledger::{Life, What};
+use range::plan::Plan;
+use range::play::{play, Played, Progress};
+use range::program;
+use range::seed::Seed;
+use range::spec::{Kind, Spec};
+use std::collections::BTreeSet;
+use std::path::Path;
+use std::sync::Arc;
+use tokio::sync::watch;
+
+fn played_by(program: &Path, text: &str, seed: u64) -> Played {
+    let spec = Spec::parse(Path::new("test.toml"), text).expect("the experiment is valid");
+    let plan = Arc::new(Plan::draw(&spec, Seed(seed)));
+    let work = tempfile::tempdir().expect("a folder");
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("a runtime");
+    let progress = watch::Sender::new(Progress::Starting { ready: 0 });
+    eprintln!("seed {seed}");
+    runtime.block_on(play(&plan, program, work.path(), &progress)).expect("it plays")
+}
+
+fn sender() -> std::path::PathBuf {
+    program::of_test().expect("the whole workspace is built: cargo test --workspace")
+}
+
+fn broken(played: &Played) -> BTreeSet<Rule> {
+    played.verdict.breaks.iter().map(|b| b.rule).collect()
+}
+
+/// Kills with calls out, a restart, a pause, an outage, a replaced endpoint, discovery gone and moved, strangers: the
+/// real senders keep all rules, and every fault shows in the facts.
+#[test]
+fn senders_keep_the_rules_through_faults() {
+    let faults = "seconds = 12\nsenders = 3\nclients = { strangers = 4.0 }\n\
+        [[event]]\nwhat = 'kill'\nat = 3\nfor = 0.6\nwhich = [0]\n\
+        [[event]]\nwhat = 'terminate'\nat = 3\nfor = 0.1\nwhich = [1]\n\
+        [[event]]\nwhat = 'pause'\nat = 8\nfor = 0.3\nwhich = [2]\n\
+        [[event]]\nwhat = 'down'\nat = 2\nfor = 3\nwhich = [1]\n\
+        [[event]]\nwhat = 'lose-answers'\nat = 5\nfor = 4\nwhich = [0]\nsize = 0.3\n\
+        [[event]]\nwhat = 'replace'\nat = 1\nfor = 6\npart = 0.5\n\
+        [[event]]\nwhat = 'discovery-silent'\nat = 4\nfor = 1\n\
+        [[event]]\nwhat = 'discovery-moves'\nat = 6\n";
+    let played = played_by(&sender(), faults, 41);
+    let verdict = &played.verdict;
+    // A machine that is busy with other tests makes a play void; rules are kept all the same.
+    assert_eq!(broken(&played), BTreeSet::new(), "{:#?}", verdict.breaks);
+    assert_eq!((verdict.counts.lost, verdict.counts.repeated), (0, 0));
+    assert!(verdict.counts.in_time * 2 > verdict.counts.asked, "{:?}", verdict.counts);
+    let count = |is: &dyn Fn(&What) -> bool| played.facts.iter().filter(|f| is(&f.what)).count();
+    let lives = |l: Life| count(&|w| matches!(w, What::Process { life, .. } if *life == l));
+    assert_eq!(lives(Life::Ready), 5, "three at the beginning, and two again");
+    assert_eq!(lives(Life::Exited { asked: false }), 0);
+    assert_eq!((lives(Life::Paused), lives(Life::Continued)), (1, 1));
+    assert_eq!(count(&|w| matches!(w, What::Trouble { kind: Kind::Down, .. })), 2);
+    assert!(count(&|w| matches!(w, What::Told { .. })) > 0, "replaced endpoints are told");
+    assert!(count(&|w| matches!(w, What::Stranger { .. })) > 20);
+}
+
+#[test]
+fn a_sender_that_ends_at_once_is_a_crash_and_not_the_ranges_failure() {
+    let played = played_by(Path::new("/bin/false"), "seconds = 1\nsenders = 2", 1);
+    assert_eq!(broken(&played), BTreeSet::from([Rule::Crash]));
+    assert_eq!(played.verdict.counts.unheard, played.verdict.counts.asked);
+}
+
+#[test]
+fn a_sender_that_writes_without_end_and_is_never_ready_is_ended() {
+    let text = "seconds = 1\nsenders = 1\n[program]\nready_s = 1.0";
+    let played = played_by(Path::new("/usr/bin/yes"), text, 1);
+    assert_eq!(broken(&played), BTreeSet::from([Rule::Crash]));
+}
