--- a/crates/cairnpulley/src/output.rs
+++ b/crates/cairnpulley/src/output.rs
@@ -97,6 +97,10 @@
     let c = &verdict.counts;
     let share = |n: usize| format!("{n} ({:.1}%)", 100.0 * n as f64 / c.asked.max(1) as f64);
     let kept = Rule::ALL.len() - broken(verdict).len();
+    let lost = match c.lost_with_folder {
+        0 => c.lost.to_string(),
+        n => format!("{} ({n} with a folder)", c.lost),
+    };
     let rows = vec![
         ["asked for".into(), c.asked.to_string()],
         ["delivered in time".into(), share(c.in_time)],
@@ -104,7 +108,7 @@
         ["handed back".into(), share(c.handed_back)],
         ["given up".into(), share(c.given_up)],
         ["never answered".into(), share(c.unheard)],
-        ["lost".into(), c.lost.to_string()],
+        ["lost".into(), lost],
         ["repeated".into(), c.repeated.to_string()],
         ["rules kept".into(), format!("{kept} of {}", Rule::ALL.len())],
         ["service G".into(), format!("{:.3}", verdict.service.g)],
--- a/crates/range/src/discovery.rs
+++ b/crates/range/src/discovery.rs
@@ -1,13 +1,14 @@
 //! Discovery on sockets: the list, watches on it, the notices; and what goes wrong with them.
 use crate::addresses;
-use crate::clock::{seconds, span, Clock, Ns, MS};
+use crate::clock::{seconds, span, Ns, MS};
 use crate::endpoints::{Endpoints, Ground};
 use crate::http::{self, Link, Start};
 use crate::ledger::{Notice, What};
+use crate::links::Links;
 use crate::messages;
 use crate::plan::{zone_name, Plan};
 use crate::platform::list::{Lifecycle, List, Told};
-use crate::spec::Kind;
+use crate::spec::{Kind, Link as Hurt};
 use rand::RngExt;
 use serde::Deserialize;
 use serde_json::{json, Value};
@@ -40,6 +41,7 @@
     /// Raised once the addresses that are in use up to then are to close.
     moves: watch::Sender<u32>,
     endpoints: Arc<Endpoints>,
+    links: Arc<Links>,
     plan: Arc<Plan>,
     ground: Ground,
     late: Mutex<rand_chacha::ChaCha8Rng>,
@@ -52,7 +54,12 @@
 }
 
 impl Discovery {
-    pub fn start(plan: &Arc<Plan>, endpoints: &Arc<Endpoints>, ground: &Ground) -> io::Result<Discovery> {
+    pub fn start(
+        plan: &Arc<Plan>,
+        endpoints: &Arc<Endpoints>,
+        links: &Arc<Links>,
+        ground: &Ground,
+    ) -> io::Result<Discovery> {
         let listed = plan.endpoints.iter().enumerate().filter(|(_, e)| e.listed).map(|(i, _)| i as u32);
         let list = List::new(listed);
         let shared = Arc::new(Shared {
@@ -61,6 +68,7 @@
             mood: watch::Sender::new(Mood::Answers),
             moves: watch::Sender::new(0),
             endpoints: endpoints.clone(),
+            links: links.clone(),
             plan: plan.clone(),
             ground: ground.clone(),
             late: Mutex::new(plan.seed.stream("notices", 0)),
@@ -69,10 +77,6 @@
         Ok(Discovery { shared, addresses })
     }
 
-    pub fn clock(&self) -> Clock {
-        self.shared.ground.clock
-    }
-
     pub fn address(&self, sender: u32) -> SocketAddr {
         self.addresses.lock().expect("no holder panics")[sender as usize]
     }
@@ -122,7 +126,7 @@
     for sender in 0..shared.plan.senders.len() as u32 {
         let at = addresses::free()?;
         tokio::spawn(shared.clone().accept(sender, addresses::listen(at)?));
-        addresses.push(at);
+        addresses.push(shared.links.front(Hurt::Discovery, sender, at)?);
     }
     Ok(addresses)
 }
--- a/crates/range/src/endpoints.rs
+++ b/crates/range/src/endpoints.rs
@@ -1,22 +1,23 @@
 //! Endpoints on sockets: a listener for each sender and endpoint, so that the address tells who calls. What becomes
 //! of a call is decided by `platform::destination`; here it is carried out.
-use crate::addresses;
+use crate::addresses::{self, Door};
 use crate::clock::{Clock, Ns, MS};
 use crate::http::{self, HttpError, Link, Message, Start};
 use crate::lateness::Lateness;
 use crate::ledger::{Ledger, Reply, What};
+use crate::links::Links;
 use crate::messages::{self, Messages};
 use crate::plan::Plan;
 use crate::platform::destination::{Answer, Call, CallNo, Destination, Out, Refusal};
 use crate::platform::list::Lifecycle;
-use crate::spec::Kind;
+use crate::spec::{Kind, Link as Hurt};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
@@ -96,7 +97,7 @@
 
 impl Endpoints {
     /// Listens at an address of its own for each endpoint and sender. Those not listed yet refuse connections.
-    pub fn start(plan: &Plan, ground: &Ground) -> io::Result<Endpoints> {
+    pub fn start(plan: &Plan, links: &Links, ground: &Ground) -> io::Result<Endpoints> {
         let calls = Arc::new(AtomicU64::new(1));
         let out: Vec<Arc<AtomicUsize>> = plan.senders.iter().map(|_| Arc::default()).collect();
         let mut dests = Vec::new();
@@ -120,7 +121,7 @@
                 let room = Arc::new(Room { connections: AtomicUsize::new(0), most });
                 for (sender, one) in plan.senders.iter().enumerate() {
                     let at = addresses::free()?;
-                    addresses[*endpoint as usize].push(at);
+                    addresses[*endpoint as usize].push(links.front(Hurt::Endpoints, sender as u32, at)?);
                     let place = Place {
                         dest: dest.clone(),
                         place,
@@ -134,7 +135,7 @@
                         calls: calls.clone(),
                         ground: ground.clone(),
                     };
-                    let first = drawn.listed.then(|| addresses::listen(at)).transpose()?;
+                    let first = drawn.listed.then(|| Door::open(at)).transpose()?;
                     tokio::spawn(place.listen(at, first));
                 }
             }
@@ -235,7 +236,7 @@
 }
 
 impl Place {
-    async fn listen(self, at: SocketAddr, mut first: Option<TcpListener>) {
+    async fn listen(self, at: SocketAddr, mut first: Option<Door>) {
         let mut phase = self.dest.phases[self.place].subscribe();
         loop {
             let now = *phase.borrow_and_update();
@@ -245,31 +246,35 @@
                 }
                 continue;
             }
-            let listener = match first.take() {
-                Some(listener) => listener,
+            let mut door = match first.take() {
+                Some(door) => door,
                 None => match self.bind(at).await {
-                    Some(listener) => listener,
+                    Some(door) => door,
                     None => return,
                 },
             };
-            while *phase.borrow() != Phase::Down {
+            loop {
+                let now = *phase.borrow_and_update();
+                if now == Phase::Down {
+                    break;
+                }
+                // Connections to a machine that says nothing never come up.
+                door.set_silent(now == Phase::Silent);
                 tokio::select! {
                     changed = phase.changed() => if changed.is_err() { return },
-                    accepted = listener.accept() => {
-                        if let Ok((stream, _)) = accepted {
-                            tokio::spawn(self.clone().serve(stream));
-                        }
+                    stream = door.accept(), if now == Phase::Up => {
+                        tokio::spawn(self.clone().serve(stream));
                     }
                 }
             }
         }
     }
 
-    async fn bind(&self, at: SocketAddr) -> Option<TcpListener> {
+    async fn bind(&self, at: SocketAddr) -> Option<Door> {
         let mut failed = None;
         for _ in 0..REBINDS {
-            match addresses::listen(at) {
-                Ok(listener) => return Some(listener),
+            match Door::open(at) {
+                Ok(door) => return Some(door),
                 Err(error) => failed = Some(error),
             }
             sleep(REBIND).await;
--- a/crates/range/src/judge/case.rs
+++ b/crates/range/src/judge/case.rs
@@ -4,9 +4,11 @@
 use crate::plan::Terms;
 use crate::platform::destination::{CallNo, Refusal};
 use crate::platform::list::Lifecycle;
-use crate::spec::Kind;
+use crate::spec::{Kind, Link};
 use std::collections::{BTreeMap, HashMap};
 
+/// How long after a link has healed something may still come that was held up on it.
+const HELD_UP: Ns = 1_500 * MS;
 /// After a restart no notice is overdue until so long after readiness (PROTOCOL, The rules on sockets).
 const RESTART: Ns = 1_500 * MS;
 /// What discovery has to tell counts as told after so long, and to a new process so long after its readiness.
@@ -77,6 +79,8 @@
     pub connections: usize,
     /// By sender, in order.
     pub lives: Vec<Vec<(Ns, Life)>>,
+    /// By link and sender: when something was wrong with it.
+    links: HashMap<(Link, u32), Vec<(Ns, Ns)>>,
     /// By destination: troubles that make its return cold, with their ends.
     pub outages: HashMap<u32, Vec<(Ns, Ns)>>,
     pub falls: Vec<(Ns, u32)>,
@@ -97,6 +101,7 @@
             probes: 0,
             connections: 0,
             lives: vec![Vec::new(); terms.senders],
+            links: HashMap::new(),
             outages: HashMap::new(),
             falls: Vec::new(),
             changes: Vec::new(),
@@ -185,6 +190,13 @@
                     }
                 }
             }
+            What::Link { sender, link, begins, .. } => {
+                let spans = self.links.entry((link, sender)).or_default();
+                match (begins, spans.last_mut()) {
+                    (false, Some(last)) => last.1 = at,
+                    _ => spans.push((at, Ns::MAX)),
+                }
+            }
             What::Fell { endpoint } => self.falls.push((at, endpoint)),
             What::Stranger { sender, ref form, within, answered, taken } => {
                 self.strangers.push(Stranger { at, sender, form, within, answered, taken });
@@ -211,8 +223,11 @@
     }
 
     /// Whether notices of a sender may be late at a time: from a restart's signal until 1.5 s after readiness. A
-    /// sender that is held by the schedule can't send any either.
+    /// sender that is held by the schedule, or cut off from where notices go, can't send any either.
     pub fn excused(&self, sender: u32, at: Ns) -> bool {
+        if self.hurt(Link::Discovery, sender, at, at) {
+            return true;
+        }
         let mut down = false;
         for (when, life) in &self.lives[sender as usize] {
             let excuse_until = match life {
@@ -231,6 +246,12 @@
         down
     }
 
+    /// Something was wrong with a link within a span, or shortly before it: what was held up on it comes late.
+    pub fn hurt(&self, link: Link, sender: u32, from: Ns, to: Ns) -> bool {
+        let spans = self.links.get(&(link, sender)).into_iter().flatten();
+        spans.clone().any(|(begins, ends)| *begins <= to && from <= ends.saturating_add(HELD_UP))
+    }
+
     /// A sender's folder was emptied after a time: what it owed then is lost with its machine.
     pub fn emptied_after(&self, sender: u32, at: Ns) -> bool {
         self.lives[sender as usize].iter().any(|(when, life)| *life == Life::Emptied && *when >= at)
--- a/crates/range/src/ledger.rs
+++ b/crates/range/src/ledger.rs
@@ -2,7 +2,7 @@
 use crate::clock::{Clock, Ns};
 use crate::platform::destination::{CallNo, Refusal};
 use crate::platform::list::Lifecycle;
-use crate::spec::Kind;
+use crate::spec::{Kind, Link};
 use serde::{Deserialize, Serialize};
 use std::sync::Mutex;
 
@@ -163,6 +163,13 @@
         kind: Kind,
         begins: bool,
     },
+    /// Something begins or ends on a link of a sender.
+    Link {
+        sender: u32,
+        link: Link,
+        kind: Kind,
+        begins: bool,
+    },
     /// A cold endpoint was sent too much.
     Fell {
         endpoint: u32,
--- a/crates/range/src/plan.rs
+++ b/crates/range/src/plan.rs
@@ -3,7 +3,7 @@
 use crate::clock::{seconds, Ns, MS, SECOND};
 use crate::platform::limit::Form;
 use crate::seed::Seed;
-use crate::spec::{Event, Folder, Kind, Spec};
+use crate::spec::{Event, Folder, Kind, Link, Spec};
 use rand::{Rng, RngExt};
 use rand_distr::{Distribution, Exp, LogNormal};
 use serde::{Deserialize, Serialize};
@@ -144,6 +144,14 @@
         sender: u32,
         folder: Folder,
     },
+    /// Something begins or ends on a link.
+    Link {
+        sender: u32,
+        link: Link,
+        kind: Kind,
+        size: f64,
+        begins: bool,
+    },
     Discovery {
         kind: Kind,
         begins: bool,
@@ -222,6 +230,13 @@
         Plan { seed, spec: spec.clone(), terms, destinations, endpoints, senders, arrivals, schedule }
     }
 
+    /// Whether anything is to happen to a link of a sender.
+    pub fn hurts(&self, link: Link, sender: u32) -> bool {
+        let is =
+            |s: &Step| matches!(s.does, Does::Link { sender: n, link: l, .. } if n == sender && l == link);
+        self.schedule.iter().any(is)
+    }
+
     /// The object that a sender finds under `settings`, as WIRE names it.
     pub fn settings(&self, sender: usize) -> Value {
         let services: Vec<Value> = self.terms.classes.iter().map(service).collect();
@@ -408,6 +423,15 @@
         }
         for &number in &s.numbers {
             match s.kind {
+                kind if kind.of_links() => {
+                    let Some(link) = s.event.link else { continue };
+                    let size = s.event.size.unwrap_or(1.0);
+                    let does = |begins| Does::Link { sender: number, link, kind, size, begins };
+                    step(s.at, does(true));
+                    if kind != Kind::Break {
+                        step(s.until, does(false));
+                    }
+                }
                 Kind::Kill => {
                     step(s.at, Does::Kill { sender: number });
                     step(s.until, Does::Start { sender: number, folder: s.event.folder });
--- a/crates/range/src/score.rs
+++ b/crates/range/src/score.rs
@@ -32,6 +32,8 @@
     pub unheard: usize,
     /// Taken on, and without an end.
     pub lost: usize,
+    /// Those among the lost that went with their sender's folder: nobody is to blame for them.
+    pub lost_with_folder: usize,
     /// Messages not to be repeated that took effect more than once under one id.
     pub repeated: usize,
     /// Calls, and those of them that a limit refused.
@@ -133,7 +135,11 @@
         let once = case.class_of(m).is_some_and(|c| !case.terms.classes[c].may_repeat);
         once && m.calls.iter().map(|c| case.calls[*c].effects.len()).sum::<usize>() > 1
     });
+    let with_folder = case.messages.values().filter(|m| {
+        m.taken().is_some_and(|taken| case.ended(m).is_none() && case.emptied_after(m.sender, taken))
+    });
     Counts {
+        lost_with_folder: with_folder.count(),
         asked: served.len(),
         in_time: ended(End::InTime),
         late: ended(End::Late),
--- a/crates/range/src/spec.rs
+++ b/crates/range/src/spec.rs
@@ -203,6 +203,18 @@
     Terminate,
     /// Senders: SIGSTOP, and SIGCONT after `for`.
     Pause,
+    /// A link of senders: nothing passes, either way, from the sender's peer on it back, or there.
+    Cut,
+    CutTo,
+    CutBack,
+    /// A link: `size` milliseconds more each way, and up to half of that again.
+    Delay,
+    /// A link: the share `size` of segments has to be sent again.
+    Loss,
+    /// A link: `size` bytes a second each way.
+    Trickle,
+    /// A link: all connections are reset, once.
+    Break,
     /// Discovery answers nobody.
     DiscoverySilent,
     /// Discovery answers lists with 503.
@@ -214,7 +226,13 @@
 impl Kind {
     /// Whether it strikes senders (else destinations, or discovery).
     pub fn of_senders(self) -> bool {
-        matches!(self, Kind::HotSender | Kind::Kill | Kind::Terminate | Kind::Pause)
+        matches!(self, Kind::HotSender | Kind::Kill | Kind::Terminate | Kind::Pause) || self.of_links()
+    }
+
+    /// Whether it strikes a link of those senders.
+    pub fn of_links(self) -> bool {
+        use Kind::*;
+        matches!(self, Cut | CutTo | CutBack | Delay | Loss | Trickle | Break)
     }
 
     pub fn of_discovery(self) -> bool {
@@ -226,6 +244,9 @@
         match self {
             Kind::Failing | Kind::LoseAnswers | Kind::Reset | Kind::Spoil => Some((0.0, 1.0)),
             Kind::HotDestination | Kind::HotSender => Some((0.0, 0.9)),
+            Kind::Loss => Some((0.0, 0.9)),
+            Kind::Delay => Some((0.0, 10_000.0)),
+            Kind::Trickle => Some((100.0, 1e9)),
             Kind::Slow => Some((1.0, 100.0)),
             Kind::Limit => Some((0.01, 100.0)),
             _ => None,
@@ -233,6 +254,18 @@
     }
 }
 
+/// Which of a sender's links.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[serde(rename_all = "kebab-case")]
+pub enum Link {
+    /// To all endpoints.
+    Endpoints,
+    /// To discovery, and with it the way of notices.
+    Discovery,
+    /// From its clients.
+    Clients,
+}
+
 /// What the lasting folder is at a sender's next start.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, PartialEq, Eq)]
 #[serde(rename_all = "kebab-case")]
@@ -263,6 +296,9 @@
     pub size: Option<f64>,
     #[serde(default)]
     pub folder: Folder,
+    /// Which link, where one is struck.
+    #[serde(default)]
+    pub link: Option<Link>,
 }
 
 impl Spec {
@@ -395,6 +431,11 @@
         if let Some(number) = event.which.iter().find(|n| **n >= all && !kind.of_discovery()) {
             return fault(format!("there is no {name} {number}: they count from 0, and there are {all}"));
         }
+        match (kind.of_links(), event.link) {
+            (true, None) => return fault("it needs link: endpoints, discovery or clients".into()),
+            (false, Some(_)) => return fault("it strikes no link".into()),
+            _ => {}
+        }
         if event.folder != Folder::Keep && !matches!(kind, Kind::Kill | Kind::Terminate) {
             return fault("only a restart has a folder".into());
         }
