Play experiments in simulated time with the decision module alone

Clients' habits are now a core of their own, used on sockets and in simulated time.

Tests: repetition, and all rules over 8 seeds of ten kinds of fault.

--- a/crates/cairnpulley/src/main.rs
+++ b/crates/cairnpulley/src/main.rs
@@ -69,6 +69,24 @@
         #[arg(long, value_name = "KEY=VALUE")]
         set: Vec<String>,
     },
+    /// Plays an experiment in simulated time, with the senders' decision module alone.
+    ///
+    /// One seed gives the same figures each time. Exits as `demo` does.
+    Sim {
+        file: PathBuf,
+        /// The seed that everything is drawn from; a new one is drawn and printed if absent.
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Prints the verdict as JSON on standard output.
+        #[arg(long)]
+        json: bool,
+        /// Keeps facts, plan and verdicts in this folder, which must not exist yet.
+        #[arg(long, value_name = "DIR")]
+        out: Option<PathBuf>,
+        /// Sets a value of the file, as `senders=1000`; may be given several times.
+        #[arg(long, value_name = "KEY=VALUE")]
+        set: Vec<String>,
+    },
     /// Reads an experiment, and prints what would be played.
     Check {
         file: PathBuf,
@@ -86,6 +104,9 @@
     let done = match cli.command {
         Command::Demo(demo) => range::demo(demo.seconds, &demo.play),
         Command::Range(Range::Run { file, play, set }) => range::run(&file, &set, &play),
+        Command::Range(Range::Sim { file, seed, json, out, set }) => {
+            range::sim(&file, &set, &Play { seed, json, out, sender: None })
+        }
         Command::Range(Range::Check { file, seed }) => range::check(&file, seed),
     };
     match done {
--- a/crates/cairnpulley/src/range.rs
+++ b/crates/cairnpulley/src/range.rs
@@ -7,6 +7,7 @@
 use range::program::{self, ProgramError};
 use range::record;
 use range::seed::Seed;
+use range::sim::{self, Simulated};
 use range::spec::{Spec, SpecError};
 use std::io;
 use std::path::{Path, PathBuf};
@@ -24,6 +25,8 @@
     #[error(transparent)]
     Play(#[from] PlayError),
     #[error(transparent)]
+    Sim(#[from] sim::SimError),
+    #[error(transparent)]
     Record(#[from] record::RecordError),
     #[error("no folder for the senders: {0}")]
     Work(io::Error),
@@ -54,11 +57,23 @@
 }
 
 pub fn run(file: &Path, set: &[String], options: &Play) -> Result<Exit, RangeError> {
+    play_all(&read(file, set)?, options)
+}
+
+pub fn sim(file: &Path, set: &[String], options: &Play) -> Result<Exit, RangeError> {
+    let spec = read(file, set)?;
+    all_seeds(&spec, options, |plan, _| {
+        let Simulated { verdict, facts } = sim::simulate(plan)?;
+        Ok(Some(Played { verdict, facts }))
+    })
+}
+
+fn read(file: &Path, set: &[String]) -> Result<Spec, RangeError> {
     let mut spec = Spec::read(file)?;
     for assignment in set {
         spec = spec.set(assignment)?;
     }
-    play_all(&spec, options)
+    Ok(spec)
 }
 
 pub fn check(file: &Path, seed: u64) -> Result<Exit, RangeError> {
@@ -81,23 +96,32 @@
 
 fn play_all(spec: &Spec, options: &Play) -> Result<Exit, RangeError> {
     let program = program::find(options.sender.as_deref().or(spec.program.path.as_deref()))?;
-    let first = options.seed.unwrap_or_else(new_seed);
     let runtime =
         tokio::runtime::Builder::new_multi_thread().enable_all().build().map_err(RangeError::Runtime)?;
+    all_seeds(spec, options, |plan, out| {
+        let scratch = tempfile::tempdir().map_err(RangeError::Work)?;
+        let work = match out {
+            Some(out) => out.work(plan.seed.0)?,
+            None => scratch.path().to_path_buf(),
+        };
+        runtime.block_on(one(plan, program.clone(), work))
+    })
+}
+
+/// Plays each repetition by `play`, which gives none where the user has broken it off.
+fn all_seeds(
+    spec: &Spec,
+    options: &Play,
+    play: impl Fn(&Arc<Plan>, Option<&record::Folder>) -> Result<Option<Played>, RangeError>,
+) -> Result<Exit, RangeError> {
+    let first = options.seed.unwrap_or_else(new_seed);
     let out = options.out.as_deref().map(record::Folder::create).transpose()?;
     let mut worst = Exit::Kept;
     let mut verdicts = Vec::new();
     for seed in (first..).take(spec.repetitions as usize) {
         eprintln!("seed {seed}");
         let plan = Arc::new(Plan::draw(spec, Seed(seed)));
-        let scratch = tempfile::tempdir().map_err(RangeError::Work)?;
-        let work = match &out {
-            Some(out) => out.work(seed)?,
-            None => scratch.path().to_path_buf(),
-        };
-        let Some(played) = runtime.block_on(one(&plan, program.clone(), work))? else {
-            return Ok(Exit::Interrupted);
-        };
+        let Some(played) = play(&plan, out.as_ref())? else { return Ok(Exit::Interrupted) };
         if let Some(out) = &out {
             out.keep(&plan, &played)?;
         }
--- a/crates/range/src/clients.rs
+++ b/crates/range/src/clients.rs
@@ -1,12 +1,13 @@
 //! Clients on sockets: messages are handed in when the plan says so, whatever the senders do (open loop), with the
 //! patience and the habits of the protocol.
-use crate::clock::{seconds, span, Ns, MS, SECOND};
+use crate::clock::{seconds, span, Ns, MS};
 use crate::endpoints::Ground;
+use crate::habits::{Client, End, Try};
 use crate::http::{HttpError, Link, Message, Start};
 use crate::ledger::{Heard, MessageId, What};
 use crate::messages::{self, Handed};
 use crate::plan::{Arrival, Plan};
-use rand::{Rng, RngExt};
+use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -19,11 +20,6 @@
 const PATIENCE: Duration = Duration::from_millis(400);
 /// Connections that stand idle longer are not used again.
 const IDLE: Duration = Duration::from_secs(30);
-/// A message comes again so often at most that was not answered.
-const AGAIN: usize = 3;
-/// A message that has less time left is not handed in again.
-const LEAST: Ns = 100 * MS;
-
 /// A sender's door as its clients see it.
 struct Door {
     address: SocketAddr,
@@ -38,25 +34,6 @@
     from: Ns,
 }
 
-/// What a message's `X-Second-Try` says.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Try {
-    First,
-    /// After a refusal.
-    Second,
-    /// After a sender that died or did not answer.
-    Again,
-}
-
-/// How a hand-in ended, with the time after which to come again, where one is told.
-enum End {
-    /// Taken on, and not handed back.
-    Done,
-    Refused(Option<Ns>),
-    Failed,
-    Unanswered,
-}
-
 /// Hands in all messages of the plan, from `from` on the ground's clock; ends once the clients are through with them.
 pub async fn run(plan: &Arc<Plan>, doors: &[SocketAddr], ground: &Ground, from: Ns) {
     let door = |address: &SocketAddr| Door { address: *address, idle: Mutex::default() };
@@ -83,60 +60,29 @@
         let due = planned + self.plan.terms.classes[class].deadline;
         let mut handed = Handed { dest, work: arrival.work, due, body: vec![0; arrival.size] };
         random.fill_bytes(&mut handed.body);
-        let habits = &self.plan.spec.clients;
-        let (mut sender, mut which, mut retries, mut agains) = (arrival.sender, Try::First, 1, AGAIN);
+        let mut client = Client::new(arrival.sender, due);
         loop {
-            let end = self.hand_in(&mut random, request, sender, class, which, &handed).await;
-            let wait = match end {
-                End::Done | End::Failed => return,
-                End::Refused(told) => {
-                    if retries == 0 || random.random::<f64>() >= habits.retry {
-                        return;
-                    }
-                    retries -= 1;
-                    which = Try::Second;
-                    let own = draw(&mut random, habits.backoff_ms);
-                    let heeds = random.random::<f64>() < habits.honour;
-                    told.filter(|_| heeds).map_or(own, |t| t.clamp(0, 2 * SECOND))
-                }
-                End::Unanswered => {
-                    if agains == 0 {
-                        return;
-                    }
-                    agains -= 1;
-                    which = Try::Again;
-                    sender = self.another(&mut random, sender);
-                    draw(&mut random, habits.again_ms)
-                }
-            };
-            if self.ground.clock.now() + wait + LEAST > due {
+            let end = self.hand_in(&mut random, request, &client, class, &handed).await;
+            let (now, senders) = (self.ground.clock.now(), self.doors.len() as u32);
+            let Some(wait) = client.next(end, now, senders, &self.plan.spec.clients, &mut random) else {
                 return;
-            }
+            };
             sleep(span(wait)).await;
         }
     }
 
-    fn another(&self, random: &mut ChaCha8Rng, sender: u32) -> u32 {
-        let all = self.doors.len() as u32;
-        match all {
-            1 => sender,
-            _ => (sender + random.random_range(1..all)) % all,
-        }
-    }
-
     async fn hand_in(
         &self,
         random: &mut ChaCha8Rng,
         request: u32,
-        sender: u32,
+        client: &Client,
         class: usize,
-        which: Try,
         handed: &Handed,
     ) -> End {
         let ground = &self.ground;
         let (id, back) = ground.messages.enter(random, handed);
-        let head = self.head(id, class, which, handed);
-        let heard = self.ask(sender, request, id, &head, handed).await;
+        let head = self.head(id, class, client.which, handed);
+        let heard = self.ask(client.sender, request, id, &head, handed).await;
         let (heard, retry_after) = match &heard {
             Ok(answer) => (verdict(answer), retry_after(answer)),
             Err(heard) => (*heard, None),
@@ -148,10 +94,10 @@
         match heard {
             Heard::Taken => match timeout_at(ground.clock.instant(handed.due), back).await {
                 Ok(Ok(retry_in)) => End::Refused(retry_in),
-                _ => End::Done,
+                _ => End::Over,
             },
             Heard::Refused => End::Refused(retry_after),
-            Heard::Failed => End::Failed,
+            Heard::Failed => End::Over,
             Heard::Silence | Heard::Closed | Heard::NoConnection => End::Unanswered,
         }
     }
@@ -253,7 +199,3 @@
     let told: f64 = answer.header("retry-after")?.parse().ok()?;
     (told.is_finite() && told >= 0.0).then(|| seconds(told))
 }
-
-fn draw(random: &mut impl Rng, [low, high]: [f64; 2]) -> Ns {
-    ((low + (high - low) * random.random::<f64>()) * MS as f64) as Ns
-}
--- a/crates/range/src/links.rs
+++ b/crates/range/src/links.rs
@@ -1,5 +1,5 @@
 //! The links of the senders: relays in front of those peers whose links the plan hurts, and what it does to them.
-use crate::clock::{Clock, Ns, MS};
+use crate::clock::Clock;
 use crate::plan::Plan;
 use crate::relay::{Condition, Tcp};
 use crate::spec::{Kind, Link};
@@ -41,23 +41,6 @@
     /// Something begins or ends on a link.
     pub fn strike(&self, link: Link, sender: u32, kind: Kind, size: f64, begins: bool) {
         let Some(condition) = self.conditions.get(&(link, sender)) else { return };
-        condition.send_modify(|c| {
-            for (way, cuts) in [(&mut c.to, Kind::CutTo), (&mut c.back, Kind::CutBack)] {
-                match kind {
-                    Kind::Cut => way.cut = begins,
-                    k if k == cuts => way.cut = begins,
-                    Kind::Delay => {
-                        way.delay = if begins { (size * MS as f64) as Ns } else { 0 };
-                        way.jitter = way.delay / 2;
-                    }
-                    Kind::Loss => way.loss = if begins { size } else { 0.0 },
-                    Kind::Trickle => way.bandwidth = begins.then_some(size),
-                    _ => {}
-                }
-            }
-            if kind == Kind::Break && begins {
-                c.breaks += 1;
-            }
-        });
+        condition.send_modify(|c| c.strike(kind, size, begins));
     }
 }
--- a/crates/range/src/relay/mod.rs
+++ b/crates/range/src/relay/mod.rs
@@ -7,6 +7,8 @@
 pub use tcp::Tcp;
 pub use udp::Udp;
 
+use crate::clock::{Ns, MS};
+use crate::spec::Kind;
 use shape::Shape;
 
 /// A link as it is now. Both drivers follow a watch of it.
@@ -20,6 +22,26 @@
 }
 
 impl Condition {
+    /// Something begins or ends; `size` as in the experiment.
+    pub fn strike(&mut self, kind: Kind, size: f64, begins: bool) {
+        for (way, cuts) in [(&mut self.to, Kind::CutTo), (&mut self.back, Kind::CutBack)] {
+            match kind {
+                Kind::Cut => way.cut = begins,
+                k if k == cuts => way.cut = begins,
+                Kind::Delay => {
+                    way.delay = if begins { (size * MS as f64) as Ns } else { 0 };
+                    way.jitter = way.delay / 2;
+                }
+                Kind::Loss => way.loss = if begins { size } else { 0.0 },
+                Kind::Trickle => way.bandwidth = begins.then_some(size),
+                _ => {}
+            }
+        }
+        if kind == Kind::Break && begins {
+            self.breaks += 1;
+        }
+    }
+
     /// While either way is cut no connection comes up, as that takes both.
     pub fn connects(&self) -> bool {
         !self.to.cut && !self.back.cut
--- a/crates/range/src/spec.rs
+++ b/crates/range/src/spec.rs
@@ -21,7 +21,7 @@
     pub title: String,
     /// How long clients hand messages in, in seconds. A play goes on until all that was taken on has ended.
     pub seconds: f64,
-    /// Real senders, each a process.
+    /// Senders: each a process, or in simulated time a module.
     pub senders: u32,
     /// Plays, each with the next seed.
     pub repetitions: u32,
@@ -355,7 +355,7 @@
         let p = &self.platform;
         let c = &self.clients;
         within("seconds", self.seconds, 1.0, 3_600.0)?;
-        within("senders", self.senders.into(), 1.0, 1_000.0)?;
+        within("senders", self.senders.into(), 1.0, 100_000.0)?;
         within("repetitions", self.repetitions.into(), 1.0, 1_000.0)?;
         within("traffic.rate", t.rate, 0.1, 20_000.0)?;
         within("traffic.load", t.load, 0.05, 5.0)?;
--- /dev/null
+++ b/crates/range/tests/sim.rs
@@ -0,0 +1,49 @@
+//! Simulated time: the module alone, at the size of a fleet.
+use range::ledger::{Life, What};
+use range::plan::Plan;
+use range::seed::Seed;
+use range::sim::{simulate, Simulated};
+use range::spec::Spec;
+use std::path::Path;
+
+fn simulated(text: &str, seed: u64) -> Simulated {
+    let spec = Spec::parse(Path::new("test.toml"), text).expect("the experiment is valid");
+    simulate(&Plan::draw(&spec, Seed(seed))).expect("it plays")
+}
+
+const FAULTS: &str = "seconds = 30\nsenders = 40\n[traffic]\nrate = 200.0\n[platform]\nendpoints = 24\n\
+    [[event]]\nwhat = 'down'\nat = 4\nfor = 4\npart = 0.2\n\
+    [[event]]\nwhat = 'silent'\nat = 12\nfor = 4\npart = 0.2\n\
+    [[event]]\nwhat = 'kill'\nat = 6\nfor = 0.6\npart = 0.5\n\
+    [[event]]\nwhat = 'terminate'\nat = 16\nfor = 0.2\npart = 0.2\n\
+    [[event]]\nwhat = 'pause'\nat = 20\nfor = 0.5\npart = 0.1\n\
+    [[event]]\nwhat = 'replace'\nat = 5\nfor = 8\npart = 0.4\n\
+    [[event]]\nwhat = 'cut'\nlink = 'endpoints'\nat = 18\nfor = 3\npart = 0.2\n\
+    [[event]]\nwhat = 'break'\nlink = 'endpoints'\nat = 24\npart = 0.5\n\
+    [[event]]\nwhat = 'lose-answers'\nat = 10\nfor = 5\npart = 0.3\nsize = 0.3\n\
+    [[event]]\nwhat = 'discovery-refuses'\nat = 5\nfor = 6\n";
+
+#[test]
+fn a_seed_gives_the_same_facts_byte_for_byte_and_another_gives_others() {
+    let bytes = |seed| {
+        let Simulated { verdict, facts } = simulated(FAULTS, seed);
+        serde_json::to_vec(&(verdict, facts)).unwrap()
+    };
+    let one = bytes(1);
+    assert!(one == bytes(1), "two plays of seed 1 differ");
+    assert!(one != bytes(2));
+}
+
+#[test]
+fn the_module_keeps_the_rules_through_faults_at_any_seed() {
+    for seed in 1..=8 {
+        let Simulated { verdict, facts } = simulated(FAULTS, seed);
+        assert!(verdict.breaks.is_empty(), "seed {seed}: {:#?}", verdict.breaks);
+        let c = &verdict.counts;
+        assert!(c.in_time * 2 > c.asked && c.asked > 5_000, "seed {seed}: {c:?}");
+        let lives = |l: Life| {
+            facts.iter().filter(|f| matches!(f.what, What::Process { life, .. } if life == l)).count()
+        };
+        assert_eq!((lives(Life::Killed), lives(Life::Ready)), (20, 68), "seed {seed}");
+    }
+}
