Compare plays by seed and report them on one page; say how many senders the machine holds

Need: a change to limits or recovery has to be told from the seeds' spread, and a play has to be readable by people.

range compare pairs two folders by seed, with Student's interval of the mean difference at 95%, and says better, worse or inside the noise; void plays are left out. range report writes one self-contained page: verdicts, delivery and outcomes over time, limits used, faults as bands (looked at as a picture, partition and outage). Each play says about how many senders the machine can hold, and a fleet that needs more descriptors than there are is refused beforehand. A restart can find a copy of another sender's folder.

--- a/crates/cairnpulley/src/main.rs
+++ b/crates/cairnpulley/src/main.rs
@@ -87,6 +87,23 @@
         #[arg(long, value_name = "KEY=VALUE")]
         set: Vec<String>,
     },
+    /// Compares two folders of plays, paired by seed: is B better than A, worse, or inside the noise?
+    ///
+    /// Exits with 1 if B's service is worse, or if it breaks rules where A does not.
+    Compare {
+        a: PathBuf,
+        b: PathBuf,
+        /// Prints the comparison as JSON on standard output.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Writes a page about the plays in a folder: verdicts, latency, outcomes and limits over time, faults.
+    Report {
+        dir: PathBuf,
+        /// Where the page goes; `report.html` in that folder if absent.
+        #[arg(long, value_name = "FILE")]
+        to: Option<PathBuf>,
+    },
     /// Reads an experiment, and prints what would be played.
     Check {
         file: PathBuf,
@@ -107,6 +124,8 @@
         Command::Range(Range::Sim { file, seed, json, out, set }) => {
             range::sim(&file, &set, &Play { seed, json, out, sender: None })
         }
+        Command::Range(Range::Compare { a, b, json }) => range::compare(&a, &b, json),
+        Command::Range(Range::Report { dir, to }) => range::report(&dir, to.as_deref()),
         Command::Range(Range::Check { file, seed }) => range::check(&file, seed),
     };
     match done {
--- a/crates/cairnpulley/src/output.rs
+++ b/crates/cairnpulley/src/output.rs
@@ -2,6 +2,7 @@
 use comfy_table::{presets::UTF8_FULL_CONDENSED, CellAlignment, Table};
 use indicatif::{ProgressBar, ProgressStyle};
 use range::clock::SECOND;
+use range::compare::{Comparison, Line};
 use range::judge::Rule;
 use range::play::{Progress, Verdict};
 use std::io::IsTerminal;
@@ -84,15 +85,34 @@
     bar.finish_and_clear();
 }
 
-fn table(rows: Vec<[String; 2]>) -> Table {
+/// A table whose first column is names and the others figures.
+fn table<const N: usize>(rows: Vec<[String; N]>) -> Table {
     let mut table = Table::new();
     table.load_style(UTF8_FULL_CONDENSED).add_rows(rows);
-    if let Some(column) = table.column_mut(1) {
-        column.set_cell_alignment(CellAlignment::Right);
+    for number in 1..N {
+        if let Some(column) = table.column_mut(number) {
+            column.set_cell_alignment(CellAlignment::Right);
+        }
     }
     table
 }
 
+pub fn print_comparison(compared: &Comparison) {
+    let number = |x: f64| if x.abs() >= 100.0 { format!("{x:.0}") } else { format!("{x:.3}") };
+    let row = |l: &Line| {
+        let spread = format!("{} to {}", number(l.low), number(l.high));
+        [l.figure.to_string(), number(l.a), number(l.b), spread, l.word.name().to_string()]
+    };
+    let head = ["", "A", "B", "B - A, 95%", "B is"].map(String::from);
+    println!("{} pairs of plays by seed", compared.pairs);
+    println!("{}", table(std::iter::once(head).chain(compared.lines.iter().map(row)).collect()));
+    let [a, b] = compared.broken;
+    println!("plays with broken rules: A {a}, B {b}");
+    if !compared.left_out.is_empty() {
+        println!("left out, as void or not played on both sides: seeds {:?}", compared.left_out);
+    }
+}
+
 pub fn print(verdict: &Verdict) {
     let c = &verdict.counts;
     let share = |n: usize| format!("{n} ({:.1}%)", 100.0 * n as f64 / c.asked.max(1) as f64);
@@ -119,6 +139,8 @@
         ["calls, over a limit".into(), format!("{}, {}", c.calls, c.over_limit)],
         ["range late, p99".into(), format!("{:.1} ms", verdict.lateness_p99_ms)],
     ];
+    let holds = |n: usize| ["machine holds about".to_string(), format!("{n} such senders")];
+    let rows: Vec<_> = rows.into_iter().chain(verdict.holds.map(holds)).collect();
     println!("{}, seed {}, {} senders", verdict.title, verdict.seed, verdict.senders);
     println!("{}", table(rows));
     for (rule, count, first) in broken(verdict) {
--- a/crates/cairnpulley/src/range.rs
+++ b/crates/cairnpulley/src/range.rs
@@ -2,10 +2,12 @@
 use crate::output::{self, Exit};
 use crate::Play;
 use range::clock::SECOND;
+use range::compare::{self, Word};
 use range::plan::Plan;
 use range::play::{self, PlayError, Played, Progress};
 use range::program::{self, ProgramError};
 use range::record;
+use range::report;
 use range::seed::Seed;
 use range::sim::{self, Simulated};
 use range::spec::{Spec, SpecError};
@@ -27,6 +29,12 @@
     #[error(transparent)]
     Sim(#[from] sim::SimError),
     #[error(transparent)]
+    Compare(#[from] compare::CompareError),
+    #[error("{dir}: {error}")]
+    Report { dir: PathBuf, error: report::ReportError },
+    #[error("cannot write {path}: {error}")]
+    Write { path: PathBuf, error: io::Error },
+    #[error(transparent)]
     Record(#[from] record::RecordError),
     #[error("no folder for the senders: {0}")]
     Work(io::Error),
@@ -76,6 +84,27 @@
     Ok(spec)
 }
 
+pub fn compare(a: &Path, b: &Path, json: bool) -> Result<Exit, RangeError> {
+    let of = |path: &Path| record::Folder::open(path).verdicts();
+    let compared = compare::compare(&of(a)?, &of(b)?)?;
+    match json {
+        true => println!("{}", serde_json::to_string_pretty(&compared)?),
+        false => output::print_comparison(&compared),
+    }
+    let [broken_a, broken_b] = compared.broken;
+    let worse = compared.lines.first().is_some_and(|line| line.word == Word::Worse);
+    Ok(if worse || broken_b > broken_a { Exit::Broken } else { Exit::Kept })
+}
+
+pub fn report(dir: &Path, to: Option<&Path>) -> Result<Exit, RangeError> {
+    let page = report::page(&record::Folder::open(dir))
+        .map_err(|error| RangeError::Report { dir: dir.to_path_buf(), error })?;
+    let to = to.map_or_else(|| dir.join("report.html"), Path::to_path_buf);
+    std::fs::write(&to, page).map_err(|error| RangeError::Write { path: to.clone(), error })?;
+    println!("{}", to.display());
+    Ok(Exit::Kept)
+}
+
 pub fn check(file: &Path, seed: u64) -> Result<Exit, RangeError> {
     let spec = Spec::read(file)?;
     let plan = Plan::draw(&spec, Seed(seed));
--- a/crates/cairnpulley/tests/cli.rs
+++ b/crates/cairnpulley/tests/cli.rs
@@ -91,6 +91,43 @@
     assert!(count >= 7, "{count} experiments");
 }
 
+#[test]
+fn plays_are_compared_by_seed_and_reported_on_one_page() {
+    let (folder, path) = file(
+        "title = 'pair <&>'\nseconds = 15\nrepetitions = 6\n[[event]]\nwhat = 'shut'\nat = 4\nfor = 4\npart = 0.2\n",
+    );
+    let dir = |name: &str| folder.path().join(name).display().to_string();
+    let sim = |out: &str, set: &str| {
+        let done = run(&["range", "sim", path.to_str().unwrap(), "--seed", "1", "--out", out, "--set", set]);
+        assert!(done.status.success(), "{}", String::from_utf8_lossy(&done.stderr));
+        done.stdout
+    };
+    let first = sim(&dir("a"), "traffic.load=0.7");
+    assert_eq!(first, sim(&dir("again"), "traffic.load=0.7"), "one seed, one output");
+    sim(&dir("b"), "traffic.load=2.5");
+    let compare = |a: &str, b: &str| {
+        let done = run(&["range", "compare", &dir(a), &dir(b), "--json"]);
+        let compared: serde_json::Value = serde_json::from_slice(&done.stdout).expect("a comparison");
+        (done.status.code(), compared["lines"][0]["word"].as_str().unwrap().to_string())
+    };
+    assert_eq!(compare("a", "again"), (Some(0), "inside-the-noise".into()));
+    assert_eq!(compare("a", "b"), (Some(1), "worse".into()));
+    assert_eq!(compare("b", "a"), (Some(0), "better".into()));
+    let done = run(&["range", "compare", &dir("a"), &dir("nowhere")]);
+    let said = String::from_utf8_lossy(&done.stderr).to_string();
+    assert!(done.status.code() == Some(2) && said.contains("nowhere"), "{said}");
+
+    assert!(run(&["range", "report", &dir("a")]).status.success());
+    let page = std::fs::read_to_string(Path::new(&dir("a")).join("report.html")).unwrap();
+    assert!(page.contains("<title>Experiment pair &lt;&amp;&gt;</title>"), "the title is text, not markup");
+    assert_eq!(page.matches("<svg").count(), 18, "three plots for each of six seeds");
+    assert_eq!(page.matches("shut: destination").count(), 6, "the fault is listed");
+    assert!(!page.contains("<script") && !page.contains("<link"), "it needs nothing else");
+    // An experiment's folder is never written over.
+    let done = run(&["range", "sim", path.to_str().unwrap(), "--out", &dir("a")]);
+    assert_eq!(done.status.code(), Some(2));
+}
+
 /// The children of a process, over all its threads.
 fn children(id: u32) -> Vec<u32> {
     let tasks = std::fs::read_dir(format!("/proc/{id}/task")).into_iter().flatten().flatten();
--- /dev/null
+++ b/crates/range/src/compare.rs
@@ -0,0 +1,180 @@
+//! Two sets of plays side by side: paired by seed, with confidence intervals, and a verdict in words.
+use crate::play::Verdict;
+use serde::Serialize;
+use statrs::distribution::{ContinuousCDF, StudentsT};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Where the interval's upper bound lies: at 95% in all.
+const UPPER: f64 = 0.975;
+/// Fewer pairs say nothing of their spread.
+pub const LEAST_PAIRS: usize = 3;
+
+#[derive(Debug, thiserror::Error, PartialEq)]
+pub enum CompareError {
+    #[error("only {0} seeds were played on both sides and not void; {LEAST_PAIRS} at least are needed")]
+    Pairs(usize),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Word {
+    Better,
+    Worse,
+    InsideTheNoise,
+}
+
+impl Word {
+    pub fn name(self) -> &'static str {
+        match self {
+            Word::Better => "better",
+            Word::Worse => "worse",
+            Word::InsideTheNoise => "inside the noise",
+        }
+    }
+}
+
+/// One figure of the two sides.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Line {
+    pub figure: &'static str,
+    pub a: f64,
+    pub b: f64,
+    /// Of the mean difference, B less A: its bounds at 95%.
+    pub low: f64,
+    pub high: f64,
+    /// Of B, as against A.
+    pub word: Word,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Comparison {
+    pub pairs: usize,
+    /// Seeds that were left out, as one side did not play them or its play is void.
+    pub left_out: Vec<u64>,
+    /// Plays with a broken rule.
+    pub broken: [usize; 2],
+    pub lines: Vec<Line>,
+}
+
+/// A figure's name, how to read it, and whether more is better.
+type Figure = (&'static str, fn(&Verdict) -> f64, bool);
+
+fn share(verdict: &Verdict, count: usize) -> f64 {
+    count as f64 / verdict.counts.asked.max(1) as f64
+}
+
+const FIGURES: [Figure; 8] = [
+    ("service G", |v| v.service.g, true),
+    ("worst 10 s", |v| v.service.worst_window, true),
+    ("worst class", |v| v.service.worst_class, true),
+    ("in time", |v| share(v, v.counts.in_time), true),
+    ("given up", |v| share(v, v.counts.given_up), false),
+    ("handed back", |v| share(v, v.counts.handed_back), false),
+    ("calls over a limit", |v| share(v, v.counts.over_limit), false),
+    ("delivery p99, ms", |v| v.latency.p99_ms, false),
+];
+
+/// Compares plays of A and B by the seeds that both have.
+pub fn compare(a: &[Verdict], b: &[Verdict]) -> Result<Comparison, CompareError> {
+    let by_seed =
+        |all: &[Verdict]| -> BTreeMap<u64, Verdict> { all.iter().map(|v| (v.seed, v.clone())).collect() };
+    let (a, b) = (by_seed(a), by_seed(b));
+    let sound = |v: Option<&Verdict>| v.is_some_and(|v| v.void.is_none());
+    let seeds: BTreeSet<u64> = a.keys().chain(b.keys()).copied().collect();
+    let (both, left_out): (Vec<u64>, Vec<u64>) =
+        seeds.into_iter().partition(|seed| sound(a.get(seed)) && sound(b.get(seed)));
+    if both.len() < LEAST_PAIRS {
+        return Err(CompareError::Pairs(both.len()));
+    }
+    let pairs: Vec<(&Verdict, &Verdict)> = both.iter().map(|seed| (&a[seed], &b[seed])).collect();
+    let broken = |side: fn(&(&Verdict, &Verdict)) -> bool| pairs.iter().filter(|p| side(p)).count();
+    Ok(Comparison {
+        pairs: pairs.len(),
+        left_out,
+        broken: [broken(|p| !p.0.breaks.is_empty()), broken(|p| !p.1.breaks.is_empty())],
+        lines: FIGURES.iter().map(|figure| line(figure, &pairs)).collect(),
+    })
+}
+
+fn mean(values: impl ExactSizeIterator<Item = f64>) -> f64 {
+    let count = values.len().max(1) as f64;
+    values.sum::<f64>() / count
+}
+
+fn line((figure, of, more): &Figure, pairs: &[(&Verdict, &Verdict)]) -> Line {
+    let differences: Vec<f64> = pairs.iter().map(|(a, b)| of(b) - of(a)).collect();
+    let (low, high) = interval(&differences);
+    let word = match (low > 0.0, high < 0.0) {
+        (true, _) if *more => Word::Better,
+        (true, _) => Word::Worse,
+        (_, true) if *more => Word::Worse,
+        (_, true) => Word::Better,
+        _ => Word::InsideTheNoise,
+    };
+    let (a, b) = (mean(pairs.iter().map(|p| of(p.0))), mean(pairs.iter().map(|p| of(p.1))));
+    Line { figure, a, b, low, high, word }
+}
+
+/// Of the mean of paired differences, by Student's distribution.
+fn interval(differences: &[f64]) -> (f64, f64) {
+    let count = differences.len() as f64;
+    let middle = mean(differences.iter().copied());
+    let spread = differences.iter().map(|d| (d - middle).powi(2)).sum::<f64>() / (count - 1.0);
+    // Two differences at least, so there is a degree of freedom.
+    let t = StudentsT::new(0.0, 1.0, count - 1.0).map_or(f64::INFINITY, |t| t.inverse_cdf(UPPER));
+    let half = t * (spread / count).sqrt();
+    (middle - half, middle + half)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::score::{Counts, Latency, Service};
+
+    fn verdict(seed: u64, g: f64) -> Verdict {
+        Verdict {
+            schema: 1,
+            title: "test".into(),
+            seed,
+            senders: 1,
+            counts: Counts { asked: 100, ..Counts::default() },
+            service: Service { g, ..Service::default() },
+            latency: Latency::default(),
+            breaks: Vec::new(),
+            void: None,
+            lateness_p99_ms: 0.0,
+            holds: None,
+        }
+    }
+
+    fn side(g: impl Fn(u64) -> f64) -> Vec<Verdict> {
+        (1..=8).map(|seed| verdict(seed, g(seed))).collect()
+    }
+
+    #[test]
+    fn a_difference_is_told_from_the_seeds_spread_and_noise_is_not() {
+        // Seeds differ far more from one another than the sides do.
+        let by_seed = |seed: u64| 0.5 + seed as f64 * 0.05;
+        let noise = |seed: u64| if seed.is_multiple_of(2) { 0.002 } else { -0.002 };
+        let a = side(by_seed);
+        let g = |b: &[Verdict]| compare(&a, b).unwrap().lines[0].clone();
+        assert_eq!(g(&side(|s| by_seed(s) - 0.01 + noise(s))).word, Word::Worse);
+        assert_eq!(g(&side(|s| by_seed(s) + 0.01 + noise(s))).word, Word::Better);
+        assert_eq!(g(&side(|s| by_seed(s) + noise(s))).word, Word::InsideTheNoise);
+        assert_eq!(g(&a).word, Word::InsideTheNoise);
+        // Eight pairs of a spread of 0.002138: 2.365 of it over the root of eight.
+        let line = g(&side(|s| by_seed(s) + noise(s)));
+        assert!((line.high - 0.001_788).abs() < 1e-5 && (line.low + line.high).abs() < 1e-9, "{line:?}");
+    }
+
+    #[test]
+    fn void_plays_and_seeds_of_one_side_are_left_out_and_too_few_are_refused() {
+        let a = side(|_| 0.5);
+        let mut b = side(|_| 0.6);
+        b[2].void = Some("late".into());
+        b.remove(6);
+        let compared = compare(&a, &b).unwrap();
+        assert_eq!((compared.pairs, compared.left_out), (6, vec![3, 7]));
+        assert_eq!(compare(&a[..2], &b), Err(CompareError::Pairs(2)));
+    }
+}
--- a/crates/range/src/judge/case.rs
+++ b/crates/range/src/judge/case.rs
@@ -163,7 +163,8 @@
                 }
             }
             // A call that the sender left may have run, as one without a reply.
-            What::Left { .. } => {}
+            // The senders are told what discovery tells, whatever its troubles.
+            What::Left { .. } | What::Discovery { .. } => {}
             What::Nameless { sender, endpoint } => self.nameless.push((at, sender, endpoint)),
             What::Probed { .. } => self.probes += 1,
             What::Connected { .. } => self.connections += 1,
--- a/crates/range/src/ledger.rs
+++ b/crates/range/src/ledger.rs
@@ -163,6 +163,11 @@
         kind: Kind,
         begins: bool,
     },
+    /// A trouble of discovery begins or ends; a move only begins.
+    Discovery {
+        kind: Kind,
+        begins: bool,
+    },
     /// Something begins or ends on a link of a sender.
     Link {
         sender: u32,
--- a/crates/range/src/plan.rs
+++ b/crates/range/src/plan.rs
@@ -44,7 +44,7 @@
     pub fall: Ns,
 }
 
-#[derive(Clone, Debug, Serialize, PartialEq)]
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
 pub struct Destination {
     pub flagship: bool,
     /// Share of all messages.
@@ -61,7 +61,7 @@
     pub endpoints: Vec<u32>,
 }
 
-#[derive(Clone, Debug, Serialize, PartialEq)]
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
 pub struct Endpoint {
     pub name: String,
     pub dest: u32,
@@ -75,7 +75,7 @@
     pub listed: bool,
 }
 
-#[derive(Clone, Debug, Serialize, PartialEq)]
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
 pub struct Sender {
     pub name: String,
     /// Share of all messages.
--- a/crates/range/src/play.rs
+++ b/crates/range/src/play.rs
@@ -7,6 +7,7 @@
 use crate::lateness::{self, Lateness};
 use crate::ledger::{Fact, Ledger, What};
 use crate::links::Links;
+use crate::machine::{self, Ticks};
 use crate::messages::Messages;
 use crate::plan::{Does, Plan};
 use crate::platform::list::Lifecycle;
@@ -35,6 +36,12 @@
     Listen(#[from] io::Error),
     #[error(transparent)]
     Process(#[from] ProcessError),
+    #[error(
+        "{senders} senders need more descriptors than there are: about {holds} can be played (ulimit -n)"
+    )]
+    Descriptors { senders: usize, holds: usize },
+    #[error("the machine can't be measured: {0}")]
+    Machine(io::Error),
 }
 
 /// How far a play is.
@@ -71,6 +78,8 @@
     pub void: Option<String>,
     /// How late the range itself was, in milliseconds.
     pub lateness_p99_ms: f64,
+    /// About how many senders of this traffic each the machine can hold; none in simulated time.
+    pub holds: Option<usize>,
 }
 
 pub const SCHEMA: u32 = 1;
@@ -94,6 +103,10 @@
     work: &Path,
     progress: &watch::Sender<Progress>,
 ) -> Result<Played, PlayError> {
+    let holds = machine::senders_by_descriptors(plan.endpoints.len());
+    if plan.senders.len() > holds {
+        return Err(PlayError::Descriptors { senders: plan.senders.len(), holds });
+    }
     let clock = Clock::new(Instant::now());
     let (void, mut voids) = mpsc::unbounded_channel();
     let ground = Ground {
@@ -106,6 +119,7 @@
     let mut stage = Stage::set(plan, program, work, &ground)?;
     stage.start_all(Duration::from_secs_f64(plan.spec.program.ready_s), progress).await?;
     let from = clock.now();
+    let before = Ticks::now().map_err(PlayError::Machine)?;
     // Strangers come from anywhere, and not over the link of the sender's own clients.
     let direct: Vec<_> = stage.senders.iter().map(Sender::address).collect();
     let front = |s: &Sender| stage.links.front(Link::Clients, s.number(), s.address());
@@ -137,6 +151,7 @@
         all = all => all?,
         () = watching => {}
     }
+    let busy = Ticks::now().map_err(PlayError::Machine)?.busy_since(&before);
     stage.end().await;
     progress.send_replace(Progress::Over);
     let facts: Vec<Fact> = ground.ledger.take().into_iter().map(|f| f.shifted(from)).collect();
@@ -149,11 +164,17 @@
         }
         Err(_) => None,
     };
-    Ok(Played { verdict: verdict(plan, &facts, void, late), facts })
+    let verdict = Verdict {
+        void,
+        lateness_p99_ms: late as f64 / MS as f64,
+        holds: Some(machine::senders(plan.senders.len(), busy).min(holds)),
+        ..verdict(plan, &facts)
+    };
+    Ok(Played { verdict, facts })
 }
 
-/// Judges facts of a play of this plan.
-pub fn verdict(plan: &Plan, facts: &[Fact], void: Option<String>, late: Ns) -> Verdict {
+/// Judges facts of a play of this plan, as far as they tell.
+pub fn verdict(plan: &Plan, facts: &[Fact]) -> Verdict {
     let case = Case::new(&plan.terms, facts);
     let served = score::served(&case);
     Verdict {
@@ -165,8 +186,9 @@
         service: score::service(&case, &served),
         latency: score::latency(&served),
         breaks: judge::breaks_of(&case),
-        void,
-        lateness_p99_ms: late as f64 / MS as f64,
+        void: None,
+        lateness_p99_ms: 0.0,
+        holds: None,
     }
 }
 
@@ -246,18 +268,29 @@
             Does::Terminate { sender } => strike(sender, Blow::Terminate),
             Does::Pause { sender } => strike(sender, Blow::Pause),
             Does::Continue { sender } => strike(sender, Blow::Continue),
-            Does::Start { sender, folder } => self.start(sender, folder)?,
+            Does::Start { sender, folder } => {
+                if folder == Folder::Another {
+                    let other = (sender as usize + 1) % self.senders.len();
+                    let state = self.senders[other].state();
+                    self.senders[sender as usize].take_folder(&state)?;
+                }
+                self.start(sender, folder)?;
+            }
             Does::Link { sender, link, kind, size, begins } => {
                 self.ground.ledger.note(What::Link { sender, link, kind, begins });
                 self.links.strike(link, sender, kind, size, begins);
             }
             Does::Discovery { kind: Kind::DiscoveryMoves, .. } => {
+                self.ground.ledger.note(What::Discovery { kind: Kind::DiscoveryMoves, begins: true });
                 self.discovery.moves()?;
                 for sender in &mut self.senders {
                     sender.move_discovery(self.discovery.address(sender.number()))?;
                 }
             }
-            Does::Discovery { kind, begins } => self.discovery.trouble(kind, begins),
+            Does::Discovery { kind, begins } => {
+                self.ground.ledger.note(What::Discovery { kind, begins });
+                self.discovery.trouble(kind, begins);
+            }
         }
         Ok(())
     }
--- a/crates/range/src/process.rs
+++ b/crates/range/src/process.rs
@@ -127,9 +127,33 @@
         Ok(path)
     }
 
+    pub fn state(&self) -> PathBuf {
+        self.folder.join("state")
+    }
+
+    /// The lasting folder becomes a copy of another one's files; what this sender owed is lost.
+    pub fn take_folder(&self, other: &Path) -> Result<(), ProcessError> {
+        let own = self.state();
+        let copy = || -> io::Result<()> {
+            std::fs::remove_dir_all(&own)?;
+            std::fs::create_dir_all(&own)?;
+            for entry in std::fs::read_dir(other)? {
+                let entry = entry?;
+                // Sockets of the other's process are no files of its folder's.
+                if entry.file_type()?.is_file() {
+                    std::fs::copy(entry.path(), own.join(entry.file_name()))?;
+                }
+            }
+            Ok(())
+        };
+        copy().map_err(|error| ProcessError::File { path: own.clone(), error })?;
+        self.note(Life::Emptied);
+        Ok(())
+    }
+
     /// Starts a process. `known` is the list as this sender last had it, `seed` its random numbers' (new each time).
     pub fn start(&mut self, folder: Folder, known: Value, seed: u64) -> Result<(), ProcessError> {
-        let state = self.folder.join("state");
+        let state = self.state();
         if folder == Folder::Empty {
             let emptied = std::fs::remove_dir_all(&state).and_then(|()| std::fs::create_dir_all(&state));
             emptied.map_err(|error| ProcessError::File { path: state.clone(), error })?;
--- a/crates/range/src/record.rs
+++ b/crates/range/src/record.rs
@@ -1,8 +1,8 @@
 //! A play on disk: `seed-N/` with the plan, the facts (a JSON object a line), the verdict, and the senders' folders.
 use crate::ledger::Fact;
-use crate::plan::Plan;
+use crate::plan::{Destination, Plan, Terms};
 use crate::play::{Played, Verdict};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use serde_json::json;
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, BufWriter, Write};
@@ -20,6 +20,13 @@
     move |error| RecordError::File { path: path.to_path_buf(), error }
 }
 
+/// The part of `plan.json` that is read again.
+#[derive(Debug, Deserialize)]
+pub struct Drawn {
+    pub terms: Terms,
+    pub destinations: Vec<Destination>,
+}
+
 /// The folder of an experiment.
 pub struct Folder(PathBuf);
 
@@ -69,6 +76,16 @@
         Ok(all)
     }
 
+    /// What the report needs of a play's plan.
+    pub fn drawn(&self, seed: u64) -> Result<Drawn, RecordError> {
+        let path = self.seed(seed).join("plan.json");
+        let file = File::open(&path).map_err(at(&path))?;
+        serde_json::from_reader(BufReader::new(file)).map_err(|error| {
+            let line = error.line();
+            RecordError::Form { path, line, error }
+        })
+    }
+
     pub fn facts(&self, seed: u64) -> Result<Vec<Fact>, RecordError> {
         read(&self.seed(seed).join("facts.jsonl"))
     }
--- /dev/null
+++ b/crates/range/src/report/page.rs
@@ -0,0 +1,153 @@
+//! The page itself.
+use super::plots::{colour, outcomes_key, LATENCY_KEY};
+use super::Shown;
+use crate::clock::{Ns, SECOND};
+use crate::judge::Rule;
+use crate::play::Verdict;
+use maud::{html, Markup, PreEscaped, DOCTYPE};
+use plotters::style::RGBColor;
+
+/// Breaks of rules that are listed one by one.
+const LISTED: usize = 40;
+
+const STYLE: &str = "
+body { font: 15px/1.45 system-ui, sans-serif; color: #222; max-width: 980px; margin: 2em auto; padding: 0 1em }
+h1 { font-size: 1.5em } h2 { font-size: 1.2em; margin-top: 2.2em; border-bottom: 1px solid #ccc }
+h3 { font-size: 1em; margin: 1.4em 0 .2em }
+table { border-collapse: collapse; margin: .8em 0 } td, th { padding: .25em .55em; border-bottom: 1px solid #e4e4e4 }
+th { text-align: left; font-weight: 600 } td.n, th.n { text-align: right; font-variant-numeric: tabular-nums }
+.kept { color: #00714f; font-weight: 600 } .broken { color: #b34700; font-weight: 600 } .void { color: #555; font-weight: 600 }
+.key { display: inline-block; width: .9em; height: .9em; vertical-align: -.1em; margin-right: .4em; opacity: .5 }
+.key.full { opacity: 1 } .of { margin-right: 1.2em } th, td { white-space: nowrap }
+p.note { color: #555; margin: .2em 0 } li { margin: .1em 0 }
+";
+
+pub fn render(plays: &[Shown]) -> String {
+    let title = plays.first().map_or("", |p| p.verdict.title.as_str());
+    let page = html! {
+        (DOCTYPE)
+        html lang="en" {
+            head {
+                meta charset="utf-8";
+                meta name="viewport" content="width=device-width, initial-scale=1";
+                title { "Experiment " (title) }
+                style { (PreEscaped(STYLE)) }
+            }
+            body {
+                h1 { "Experiment " (title) }
+                (overview(plays))
+                @for play in plays { (section(play)) }
+            }
+        }
+    };
+    page.into_string()
+}
+
+fn word(verdict: &Verdict) -> Markup {
+    match (&verdict.void, verdict.breaks.len()) {
+        (Some(_), _) => html! { span.void { "void" } },
+        (None, 0) => html! { span.kept { "all rules kept" } },
+        (None, n) => html! { span.broken { (n) " breaks of rules" } },
+    }
+}
+
+fn percent(verdict: &Verdict, count: usize) -> String {
+    format!("{:.1}%", 100.0 * count as f64 / verdict.counts.asked.max(1) as f64)
+}
+
+fn overview(plays: &[Shown]) -> Markup {
+    html! {
+        table {
+            tr {
+                th { "seed" } th.n { "senders" } th.n { "asked for" } th.n { "in time" } th.n { "late" }
+                th.n { "handed back" } th.n { "given up" } th.n { "lost" } th.n { "service G" }
+                th.n { "p50, p99" } th {}
+            }
+            @for Shown { verdict: v, .. } in plays {
+                tr {
+                    td { a href={ "#seed-" (v.seed) } { (v.seed) } }
+                    td.n { (v.senders) }
+                    td.n { (v.counts.asked) }
+                    td.n { (percent(v, v.counts.in_time)) }
+                    td.n { (percent(v, v.counts.late)) }
+                    td.n { (percent(v, v.counts.handed_back)) }
+                    td.n { (percent(v, v.counts.given_up)) }
+                    td.n { (v.counts.lost) }
+                    td.n { (format!("{:.3}", v.service.g)) }
+                    td.n { (format!("{:.0}, {:.0} ms", v.latency.p50_ms, v.latency.p99_ms)) }
+                    td { (word(v)) }
+                }
+            }
+        }
+    }
+}
+
+fn section(play: &Shown) -> Markup {
+    let v = &play.verdict;
+    html! {
+        h2 id={ "seed-" (v.seed) } { "Seed " (v.seed) ": " (word(v)) }
+        @if let Some(why) = &v.void { p { "This play says nothing of the senders: " (why) "." } }
+        (breaks(v))
+        h3 { "Delivery over time" }
+        p.note { "From when a message was asked for, by that second. Shaded: faults, listed below." }
+        (key(LATENCY_KEY.into_iter()))
+        (PreEscaped(&play.latency))
+        h3 { "What became of messages" }
+        (key(outcomes_key()))
+        (PreEscaped(&play.outcomes))
+        h3 { "Limits" }
+        p.note { "Calls a second at the busiest destinations (blue), those refused above the limit (red), the limit (dashed)." }
+        (PreEscaped(&play.limits))
+        @if !play.bands.is_empty() { (faults(play)) }
+        p.note {
+            (format!("Worth served {:.3}, worst 10 s {:.3}, worst class {:.3}, prices {:.3}. ",
+                v.service.whole, v.service.worst_window, v.service.worst_class, v.service.prices))
+            (v.counts.calls) " calls, " (v.counts.over_limit) " of them above a limit; "
+            (v.counts.connections) " connections; " (v.counts.probes) " probes. "
+            (format!("The range was late by {:.1} ms at its 99th percentile.", v.lateness_p99_ms))
+        }
+    }
+}
+
+fn key(of: impl Iterator<Item = (&'static str, RGBColor)>) -> Markup {
+    html! { p.note { @for (name, c) in of { span.of { span.key.full style=(background(c)) {} (name) } } } }
+}
+
+fn background(c: RGBColor) -> String {
+    format!("background: rgb({}, {}, {})", c.0, c.1, c.2)
+}
+
+fn breaks(v: &Verdict) -> Markup {
+    let of = |rule: Rule| v.breaks.iter().filter(|b| b.rule == rule).count();
+    html! {
+        @if !v.breaks.is_empty() {
+            table {
+                @for rule in Rule::ALL.into_iter().filter(|r| of(*r) > 0) {
+                    tr { td { (rule.name()) } td.n { (of(rule)) } }
+                }
+            }
+            ul { @for b in v.breaks.iter().take(LISTED) { li { (at(b.at)) " " (b.rule.name()) ": " (b.what) } } }
+            @if v.breaks.len() > LISTED { p.note { "and " (v.breaks.len() - LISTED) " more" } }
+        }
+    }
+}
+
+fn faults(play: &Shown) -> Markup {
+    html! {
+        h3 { "Faults" }
+        table {
+            tr { th { "what" } th.n { "from" } th.n { "to" } }
+            @for band in &play.bands {
+                tr {
+                    td { span.key style=(background(colour(band.at_whom))) {} (band.what) }
+                    td.n { (at(band.from)) }
+                    td.n { (at(band.to)) }
+                }
+            }
+        }
+    }
+}
+
+fn at(at: Ns) -> String {
+    format!("{:.1} s", at as f64 / SECOND as f64)
+}
--- a/crates/range/src/sim/mod.rs
+++ b/crates/range/src/sim/mod.rs
@@ -22,8 +22,9 @@
     pub facts: Vec<Fact>,
 }
 
-/// Plays a plan in simulated time. Strangers are left out, as the module never hears of them.
+/// Plays a plan in simulated time. Strangers are left out, as the module never hears of them, and so are the slips of
+/// a folder that is another sender's: it counts as an empty one.
 pub fn simulate(plan: &Plan) -> Result<Simulated, SimError> {
     let facts = world::World::new(plan)?.run();
-    Ok(Simulated { verdict: play::verdict(plan, &facts, None, 0), facts })
+    Ok(Simulated { verdict: play::verdict(plan, &facts), facts })
 }
--- a/crates/range/src/sim/world.rs
+++ b/crates/range/src/sim/world.rs
@@ -478,7 +478,7 @@
         if one.process != Process::Down {
             return;
         }
-        if folder == Folder::Empty {
+        if folder != Folder::Keep {
             one.empty();
             self.note(What::Process { sender, life: Life::Emptied });
         }
@@ -830,8 +830,11 @@
                 }
             }
             // A sender takes the move up as it comes; in simulated time nothing is lost on the way.
-            Does::Discovery { kind: Kind::DiscoveryMoves, .. } => {}
+            Does::Discovery { kind: Kind::DiscoveryMoves, .. } => {
+                self.note(What::Discovery { kind: Kind::DiscoveryMoves, begins: true });
+            }
             Does::Discovery { kind, begins } => {
+                self.note(What::Discovery { kind, begins });
                 match begins {
                     true => self.discovery.push(kind),
                     false => self.discovery.retain(|k| *k != kind),
--- a/crates/range/src/spec.rs
+++ b/crates/range/src/spec.rs
@@ -274,6 +274,8 @@
     Keep,
     /// The machine was lost, and with it what the sender owed.
     Empty,
+    /// By mistake it is a copy of the next sender's, as that stands then.
+    Another,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
