--- a/crates/range/src/discovery.rs
+++ b/crates/range/src/discovery.rs
@@ -7,6 +7,7 @@
 use crate::links::Links;
 use crate::messages;
 use crate::plan::{zone_name, Plan};
+use crate::platform::limit::{Form, Limit};
 use crate::platform::list::{Lifecycle, List, Told};
 use crate::spec::{Kind, Link as Hurt};
 use rand::RngExt;
@@ -31,6 +32,8 @@
     Answers,
     Silent,
     Refuses,
+    /// Answers as many calls as its limit lets through.
+    Crowded,
 }
 
 struct Shared {
@@ -45,6 +48,8 @@
     plan: Arc<Plan>,
     ground: Ground,
     late: Mutex<rand_chacha::ChaCha8Rng>,
+    /// What it answers while it is crowded.
+    limit: Mutex<Limit>,
 }
 
 pub struct Discovery {
@@ -72,6 +77,7 @@
             plan: plan.clone(),
             ground: ground.clone(),
             late: Mutex::new(plan.seed.stream("notices", 0)),
+            limit: Mutex::new(Limit::new(Form::Rate, 1.0, false)),
         });
         let addresses = Mutex::new(open(&shared)?);
         Ok(Discovery { shared, addresses })
@@ -104,10 +110,20 @@
         });
     }
 
-    pub fn trouble(&self, kind: Kind, begins: bool) {
+    pub fn trouble(&self, kind: Kind, size: f64, begins: bool) {
+        if kind == Kind::DiscoveryResets {
+            let mut list = self.shared.list.lock().expect("no holder panics");
+            list.forget();
+            self.shared.news.send_replace(list.generation());
+            return;
+        }
+        if kind == Kind::DiscoveryCrowded {
+            *self.shared.limit.lock().expect("no holder panics") = Limit::new(Form::Rate, size, false);
+        }
         let mood = match (kind, begins) {
             (Kind::DiscoverySilent, true) => Mood::Silent,
             (Kind::DiscoveryRefuses, true) => Mood::Refuses,
+            (Kind::DiscoveryCrowded, true) => Mood::Crowded,
             _ => Mood::Answers,
         };
         self.shared.mood.send_replace(mood);
@@ -217,7 +233,12 @@
             told = async {
                 // While discovery is down its agent is silent, whatever there is to tell.
                 let _ = mood.wait_for(|m| *m != Mood::Silent).await;
-                if *mood.borrow() == Mood::Refuses {
+                let turned_away = match *mood.borrow() {
+                    Mood::Answers | Mood::Silent => false,
+                    Mood::Refuses => true,
+                    Mood::Crowded => self.is_crowded(),
+                };
+                if turned_away {
                     return None;
                 }
                 if let Some(index) = index {
@@ -237,6 +258,10 @@
         ))
     }
 
+    fn is_crowded(&self) -> bool {
+        self.limit.lock().expect("no holder panics").take(self.ground.clock.now()).is_err()
+    }
+
     /// What the sender knows from now on. A whole list tells of endpoints that are gone by leaving them out.
     fn note(&self, sender: u32, told: &Told) {
         for entry in &told.entries {
--- a/crates/range/src/plan.rs
+++ b/crates/range/src/plan.rs
@@ -154,6 +154,7 @@
     },
     Discovery {
         kind: Kind,
+        size: f64,
         begins: bool,
     },
 }
@@ -415,9 +416,10 @@
     for s in struck {
         let mut step = |at: Ns, does: Does| steps.push(Step { at, does });
         if s.kind.of_discovery() {
-            step(s.at, Does::Discovery { kind: s.kind, begins: true });
-            if s.kind != Kind::DiscoveryMoves {
-                step(s.until, Does::Discovery { kind: s.kind, begins: false });
+            let size = s.event.size.unwrap_or(1.0);
+            step(s.at, Does::Discovery { kind: s.kind, size, begins: true });
+            if !s.kind.is_moment() {
+                step(s.until, Does::Discovery { kind: s.kind, size, begins: false });
             }
             continue;
         }
@@ -428,7 +430,7 @@
                     let size = s.event.size.unwrap_or(1.0);
                     let does = |begins| Does::Link { sender: number, link, kind, size, begins };
                     step(s.at, does(true));
-                    if kind != Kind::Break {
+                    if !kind.is_moment() {
                         step(s.until, does(false));
                     }
                 }
--- a/crates/range/src/platform/list.rs
+++ b/crates/range/src/platform/list.rs
@@ -66,6 +66,12 @@
         }
     }
 
+    /// Loses its history, so that every watch gets the whole list.
+    pub fn forget(&mut self) {
+        self.generation += 1;
+        self.history.clear();
+    }
+
     /// Those that the whole list no longer names.
     pub fn gone(&self) -> Vec<u32> {
         self.entries.iter().filter(|e| e.lifecycle == Lifecycle::Gone).map(|e| e.endpoint).collect()
@@ -109,6 +115,8 @@
         assert_eq!(list.since(Some(4)).entries, []);
         assert!(list.since(Some(9)).reset, "a version of another life of the list");
         assert!(!list.since(None).entries.contains(&gone), "the whole list names no endpoint that is gone");
+        list.forget();
+        assert!(list.since(Some(4)).reset && !list.since(Some(5)).reset);
         for _ in 0..=HISTORY {
             list.set(2, Lifecycle::Ready);
         }
--- a/crates/range/src/play.rs
+++ b/crates/range/src/play.rs
@@ -287,9 +287,9 @@
                     sender.move_discovery(self.discovery.address(sender.number()))?;
                 }
             }
-            Does::Discovery { kind, begins } => {
+            Does::Discovery { kind, size, begins } => {
                 self.ground.ledger.note(What::Discovery { kind, begins });
-                self.discovery.trouble(kind, begins);
+                self.discovery.trouble(kind, size, begins);
             }
         }
         Ok(())
--- a/crates/range/src/report/series.rs
+++ b/crates/range/src/report/series.rs
@@ -133,7 +133,8 @@
         };
         if begins {
             // What only begins, as a break of connections, is a moment.
-            let moment = name.starts_with("break") || name == "discovery-moves";
+            let moment =
+                name.starts_with("break") || ["discovery-moves", "discovery-resets"].contains(&name.as_str());
             match moment {
                 true => single.push((name, number, *at, *at, whom)),
                 false => _ = open.entry((name, number)).or_insert(*at),
--- a/crates/range/src/sim/world.rs
+++ b/crates/range/src/sim/world.rs
@@ -833,7 +833,16 @@
             Does::Discovery { kind: Kind::DiscoveryMoves, .. } => {
                 self.note(What::Discovery { kind: Kind::DiscoveryMoves, begins: true });
             }
-            Does::Discovery { kind, begins } => {
+            Does::Discovery { kind: kind @ Kind::DiscoveryResets, .. } => {
+                self.note(What::Discovery { kind, begins: true });
+                self.list.forget();
+                self.tell_lists();
+            }
+            // Watches that stand are no crowd: in simulated time whoever waits hears what there is to tell.
+            Does::Discovery { kind: Kind::DiscoveryCrowded, begins, .. } => {
+                self.note(What::Discovery { kind: Kind::DiscoveryCrowded, begins });
+            }
+            Does::Discovery { kind, begins, .. } => {
                 self.note(What::Discovery { kind, begins });
                 match begins {
                     true => self.discovery.push(kind),
--- a/crates/range/src/spec.rs
+++ b/crates/range/src/spec.rs
@@ -219,6 +219,10 @@
     DiscoverySilent,
     /// Discovery answers lists with 503.
     DiscoveryRefuses,
+    /// Discovery answers `size` list calls a second, and any more with 503.
+    DiscoveryCrowded,
+    /// Discovery has lost its history: every watch gets the whole list anew.
+    DiscoveryResets,
     /// Discovery moves to another address and tells so by configuration and SIGHUP.
     DiscoveryMoves,
 }
@@ -236,7 +240,16 @@
     }
 
     pub fn of_discovery(self) -> bool {
-        matches!(self, Kind::DiscoverySilent | Kind::DiscoveryRefuses | Kind::DiscoveryMoves)
+        use Kind::*;
+        matches!(
+            self,
+            DiscoverySilent | DiscoveryRefuses | DiscoveryCrowded | DiscoveryResets | DiscoveryMoves
+        )
+    }
+
+    /// Whether it is a moment, with no end of its own.
+    pub fn is_moment(self) -> bool {
+        matches!(self, Kind::DiscoveryMoves | Kind::DiscoveryResets | Kind::Break)
     }
 
     /// The bounds of `size`, where it has one.
@@ -247,6 +260,7 @@
             Kind::Loss => Some((0.0, 0.9)),
             Kind::Delay => Some((0.0, 10_000.0)),
             Kind::Trickle => Some((100.0, 1e9)),
+            Kind::DiscoveryCrowded => Some((0.01, 1e6)),
             Kind::Slow => Some((1.0, 100.0)),
             Kind::Limit => Some((0.01, 100.0)),
             _ => None,
--- a/crates/range/src/strangers.rs
+++ b/crates/range/src/strangers.rs
@@ -85,6 +85,11 @@
         within: OWED,
     },
     Form { name: "length in words", bytes: || with("Content-Length", "Content-Length: two"), within: OWED },
+    Form {
+        name: "broken chunks",
+        bytes: || with("Content-Length", "Transfer-Encoding: chunked"),
+        within: OWED,
+    },
     Form { name: "two ids", bytes: || with("Host", "Host: a\r\nX-Trace-Id: fffffffffffffffe"), within: OWED },
     Form {
         name: "long head",
--- a/crates/range/tests/play.rs
+++ b/crates/range/tests/play.rs
@@ -29,7 +29,7 @@
     played.verdict.breaks.iter().map(|b| b.rule).collect()
 }
 
-/// Kills with calls out, a restart, a pause, an outage, a replaced endpoint, discovery gone and moved, strangers: the
+/// Kills with calls out, a restart, a pause, an outage, a replaced endpoint, discovery gone, crowded, reset and moved, strangers: the
 /// real senders keep all rules, and every fault shows in the facts.
 #[test]
 fn senders_keep_the_rules_through_faults() {
@@ -41,6 +41,8 @@
         [[event]]\nwhat = 'lose-answers'\nat = 5\nfor = 4\nwhich = [0]\nsize = 0.3\n\
         [[event]]\nwhat = 'replace'\nat = 1\nfor = 6\npart = 0.5\n\
         [[event]]\nwhat = 'discovery-silent'\nat = 4\nfor = 1\n\
+        [[event]]\nwhat = 'discovery-crowded'\nat = 3\nfor = 1\nsize = 1.0\n\
+        [[event]]\nwhat = 'discovery-resets'\nat = 5.5\n\
         [[event]]\nwhat = 'discovery-moves'\nat = 6\n";
     let played = played_by(&sender(), faults, 41);
     let verdict = &played.verdict;
