--- /dev/null
+++ b/crates/store/tests/folders.rs
@@ -0,0 +1,262 @@
+//! Whole folders: damaged anywhere, foreign, full of anything, and filled to their limit.
+use proptest::prelude::*;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use store::disk::Disk;
+use store::files::{Append, Files};
+use store::frame::{self, Does, Record};
+use store::log::{Config, Damage, Entry, Found, Images, Log, OpenError};
+use store::sim::SimDisk;
+
+fn config(limit: u64) -> Config {
+    Config { owner: "n3".into(), limit, largest: 600, durable: true }
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Kept(BTreeMap<u64, Vec<u8>>);
+
+impl Kept {
+    fn take(&mut self, record: &Record) {
+        match record.does {
+            Does::Begin => _ = self.0.insert(record.key, record.payload.to_vec()),
+            Does::Add => {
+                if let Some(known) = self.0.get_mut(&record.key) {
+                    known.extend_from_slice(record.payload);
+                }
+            }
+            Does::End => _ = self.0.remove(&record.key),
+        }
+    }
+}
+
+impl Images for Kept {
+    fn image(&self, key: u64) -> Option<Vec<u8>> {
+        self.0.get(&key).cloned()
+    }
+}
+
+type Opened<F> = Result<(Log<F>, Kept, Found), OpenError>;
+
+fn open<F: Files>(files: F, limit: u64) -> Opened<F> {
+    let kept = RefCell::new(Kept::default());
+    let (log, found) = Log::open(files, config(limit), |r| kept.borrow_mut().take(&r))?;
+    Ok((log, kept.into_inner(), found))
+}
+
+const LIMIT: u64 = 64 << 10;
+
+/// Thirty keys in several segments, each with a payload of its own.
+fn filled() -> (SimDisk, Kept) {
+    let disk = SimDisk::default();
+    let (mut log, mut kept, _) = open(disk.clone(), LIMIT).unwrap();
+    for key in 1..=30u64 {
+        let payload = vec![key as u8; 100 + key as usize * 10];
+        log.append(&[Entry { key, does: Does::Begin, payload: &payload }], &kept).unwrap();
+        kept.0.insert(key, payload);
+    }
+    log.sync(&kept).unwrap();
+    (disk, kept)
+}
+
+fn bytes_of(disk: &SimDisk) -> BTreeMap<String, Vec<u8>> {
+    disk.names().unwrap().into_iter().map(|n| (n.clone(), disk.read(&n).unwrap())).collect()
+}
+
+#[test]
+fn a_bit_that_flips_anywhere_costs_one_record_at_most_and_is_told() {
+    let (whole, kept) = filled();
+    let segments: Vec<String> =
+        whole.names().unwrap().into_iter().filter(|n| n.starts_with("seg-")).collect();
+    assert!(segments.len() > 2);
+    let mut tails = 0;
+    for (place, name) in segments.iter().enumerate() {
+        let length = whole.read(name).unwrap().len();
+        for at in 0..length {
+            let disk = whole.after_death();
+            disk.damage(name, |bytes| bytes[at] ^= 1 << (at % 8));
+            let (_, found, told) = open(disk, LIMIT).unwrap_or_else(|e| panic!("{name}, byte {at}: {e}"));
+            let missing = kept.0.len() - found.0.len();
+            let header = at < frame::HEADER;
+            assert!(missing <= usize::from(!header), "{name}, byte {at}: {missing} records are missing");
+            assert!(
+                found.0.iter().all(|(key, payload)| kept.0.get(key) == Some(payload)),
+                "{name}, byte {at}"
+            );
+            assert!(!told.damage.is_empty(), "{name}, byte {at}: nothing is told");
+            // Only the very last record may pass for one that a crash has torn.
+            let torn = told.damage.iter().all(Damage::is_expected);
+            assert!(!torn || (place == segments.len() - 1 && missing == 1), "{name}, byte {at}: {told:?}");
+            tails += usize::from(torn);
+        }
+    }
+    assert!(tails > 0 && tails < 500, "{tails}");
+}
+
+#[test]
+fn a_foreign_folder_and_another_format_are_refused_and_left_as_they_are() {
+    let (disk, _) = filled();
+    let before = bytes_of(&disk);
+    let own = Config { owner: "n4".into(), ..config(LIMIT) };
+    let refused = Log::open(disk.clone(), own, |_| ());
+    assert!(matches!(refused, Err(OpenError::Foreign { found, .. }) if found == "n3"));
+    assert_eq!(bytes_of(&disk), before);
+    // A segment that came from another folder, and one of a later format, each with its checksum right.
+    let (mixed, _) = filled();
+    let header = frame::encode_header("n5", 2, 9);
+    mixed.damage("seg-0000000000000002", |bytes| bytes[..frame::HEADER].copy_from_slice(&header));
+    let before = bytes_of(&mixed);
+    let refused = open(mixed.clone(), LIMIT);
+    assert!(matches!(refused, Err(OpenError::Foreign { found, .. }) if found == "n5"));
+    assert_eq!(bytes_of(&mixed), before);
+    let (later, _) = filled();
+    later.damage("seg-0000000000000002", |bytes| {
+        bytes[8] = 2;
+        let sum = crc32c::crc32c(&bytes[..frame::HEADER - 4]);
+        bytes[frame::HEADER - 4..frame::HEADER].copy_from_slice(&sum.to_le_bytes());
+    });
+    let before = bytes_of(&later);
+    assert!(matches!(open(later.clone(), LIMIT), Err(OpenError::Version { found: 2, .. })));
+    assert_eq!(bytes_of(&later), before);
+    let manifest =
+        |disk: &SimDisk, text: &str| disk.damage("manifest", |bytes| *bytes = text.as_bytes().to_vec());
+    manifest(&disk, r#"{"format":2,"owner":"n3","first":1}"#);
+    let before = bytes_of(&disk);
+    let Err(refused) = open(disk.clone(), LIMIT) else { panic!("a later format was opened") };
+    assert!(refused.to_string().contains("manifest is of format 2"), "{refused}");
+    assert_eq!(bytes_of(&disk), before);
+    // A manifest that can't be read is told, and costs nothing while all segments count.
+    manifest(&disk, "{");
+    let (_, kept, found) = open(disk, LIMIT).unwrap();
+    assert_eq!((kept.0.len(), found.damage), (30, vec![Damage::Manifest]));
+}
+
+#[test]
+fn a_torn_tail_is_told_once_and_cut_so_that_what_follows_stands_on_sound_ground() {
+    let (disk, kept) = filled();
+    let last = disk.names().unwrap().into_iter().filter(|n| n.starts_with("seg-")).max().unwrap();
+    disk.damage(&last, |bytes| bytes.truncate(bytes.len() - 3));
+    let (mut log, mut found, told) = open(disk.clone(), LIMIT).unwrap();
+    assert!(matches!(told.damage[..], [Damage::TornTail { .. }]), "{told:?}");
+    assert_eq!(found.0.len(), kept.0.len() - 1);
+    let entry = Entry { key: 99, does: Does::Begin, payload: b"later" };
+    log.append(&[entry], &found).unwrap();
+    log.sync(&found).unwrap();
+    found.0.insert(99, b"later".to_vec());
+    let (_, again, told) = open(disk, LIMIT).unwrap();
+    assert_eq!((again, told.damage), (found, Vec::new()));
+}
+
+#[test]
+fn on_a_real_disk_the_next_process_finds_what_was_appended() {
+    let folder = tempfile::tempdir().unwrap();
+    let disk = || Disk::new(folder.path());
+    let (mut log, mut kept, _) = open(disk(), LIMIT).unwrap();
+    for key in 1..200u64 {
+        let payload = vec![key as u8; 400];
+        log.append(&[Entry { key, does: Does::Begin, payload: &payload }], &kept).unwrap();
+        kept.0.insert(key, payload);
+        if key > 20 {
+            log.append(&[Entry { key: key - 20, does: Does::End, payload: &[] }], &kept).unwrap();
+            kept.0.remove(&(key - 20));
+        }
+    }
+    log.sync(&kept).unwrap();
+    let on_disk: u64 = std::fs::read_dir(folder.path())
+        .unwrap()
+        .map(|e| e.unwrap().metadata().unwrap().len().div_ceil(512) * 512)
+        .sum();
+    assert!(on_disk <= LIMIT && on_disk <= log.used(), "{on_disk} on disk, {} by account", log.used());
+    let (_, again, found) = open(disk(), LIMIT).unwrap();
+    assert_eq!((again, found.damage), (kept, Vec::new()));
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Begin(usize),
+    Add(usize, usize),
+    End(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => (1..600usize).prop_map(Step::Begin),
+        3 => (any::<usize>(), 1..60usize).prop_map(|(which, size)| Step::Add(which, size)),
+        3 => any::<usize>().prop_map(Step::End),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(150) })]
+
+    /// While less than half of the limit lives there is always room, the files stay under the limit, and no append
+    /// writes more than itself and three segments: two that are cleaned, and what their images have grown by.
+    #[test]
+    fn there_is_room_and_no_long_stall_while_half_of_it_lives(
+        steps in proptest::collection::vec(step(), 1..900),
+        limit in (24u64..64).prop_map(|k| k << 10),
+    ) {
+        let disk = SimDisk::default();
+        let (mut log, mut kept, _) = open(disk.clone(), limit).unwrap();
+        let segment = (limit / 16 / 512 * 512).max(96 + 25 + 600);
+        let mut next = 1;
+        for step in steps {
+            let live: Vec<u64> = kept.0.keys().copied().collect();
+            let pick = |which: usize| live[which % live.len()];
+            let (does, key, size) = match step {
+                Step::Begin(size) => (Does::Begin, next, size),
+                // Images may not outgrow a payload.
+                Step::Add(which, size) if !live.is_empty() && kept.0[&pick(which)].len() + size <= 600 => {
+                    (Does::Add, pick(which), size)
+                }
+                Step::End(which) if !live.is_empty() => (Does::End, pick(which), 0),
+                _ => continue,
+            };
+            // As the sender does before it takes something on.
+            if does != Does::End && log.living() + (size + 25) as u64 > limit * 2 / 5 {
+                continue;
+            }
+            next += u64::from(does == Does::Begin);
+            let payload = vec![key as u8; size];
+            let written = disk.written();
+            let entry = Entry { key, does, payload: &payload };
+            prop_assert!(log.append(&[entry], &kept).is_ok(), "no room: {} of {limit}, {} live", log.used(), log.living());
+            let stall = disk.written() - written - (size + 25) as u64;
+            prop_assert!(stall <= 3 * segment + 1_024, "{stall} bytes more were written, segments have {segment}");
+            kept.take(&Record { sequence: 0, key, does, payload: &payload });
+            let files: u64 = bytes_of(&disk).values().map(|b| (b.len() as u64).div_ceil(512) * 512).sum();
+            prop_assert!(files <= limit, "{files} bytes in files, {limit} allowed");
+        }
+        let (_, again, found) = open(disk, limit).unwrap();
+        prop_assert_eq!(found.damage, Vec::new());
+        prop_assert_eq!(again, kept);
+    }
+
+    /// Anything at all in the files: no panic, and nothing is read that was not framed.
+    #[test]
+    fn files_of_anything_are_read_without_panic_and_without_inventing(
+        manifest in proptest::option::of(proptest::collection::vec(any::<u8>(), 0..80)),
+        segments in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 0..2_000), 0..4),
+        headers in any::<bool>(),
+    ) {
+        let disk = SimDisk::default();
+        let write = |name: &str, bytes: &[u8]| disk.create(name).unwrap().append(bytes).unwrap();
+        if let Some(manifest) = manifest {
+            write("manifest", &manifest);
+        }
+        for (number, bytes) in segments.iter().enumerate() {
+            let mut all = Vec::new();
+            if headers {
+                all.extend_from_slice(&frame::encode_header("n3", number as u64 + 1, 1));
+            }
+            all.extend_from_slice(bytes);
+            write(&format!("seg-{:016x}", number + 1), &all);
+        }
+        if let Ok((mut log, kept, found)) = open(disk.clone(), LIMIT) {
+            prop_assert_eq!((found.records, kept.0.len()), (0, 0), "32 bits of checksum hardly come by chance");
+            let entry = Entry { key: 9, does: Does::Begin, payload: b"on" };
+            prop_assert!(log.append(&[entry], &kept).is_ok() && log.sync(&kept).is_ok());
+            let (_, kept, _) = open(disk, LIMIT).unwrap();
+            prop_assert_eq!(kept.0.len(), 1);
+        }
+    }
+}
