--- a/crates/range/src/machine.rs
+++ b/crates/range/src/machine.rs
@@ -1,10 +1,12 @@
 //! What the machine gives: how busy it was, and how many senders of a play's traffic it could hold.
+use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
 use std::io;
 
 /// Share of the processors that a play may keep busy and still be on time: bursts go far above the mean.
 const ROOM: f64 = 0.6;
-/// Descriptors that the range needs for each link besides its listener: connections in use, and their relays.
-const PER_LINK: u64 = 2;
+/// Descriptors that the range needs for each link besides its listener: a connection, which not all have at a time,
+/// while those under relay have three.
+const PER_LINK: u64 = 1;
 /// Descriptors for files, pipes and timers.
 const OWN: u64 = 256;
 
@@ -44,9 +46,16 @@
     (played as f64 * ROOM / busy.max(1e-3)) as usize
 }
 
-/// How many senders the descriptors suffice for, with so many endpoints.
+/// How many senders the descriptors suffice for, with so many endpoints. Raises this process's bound on them as far as
+/// it may be.
 pub fn senders_by_descriptors(endpoints: usize) -> usize {
-    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current.unwrap_or(u64::MAX);
+    let mut bound = getrlimit(Resource::Nofile);
+    let most = Rlimit { current: bound.maximum, ..bound };
+    // Without it the bound stays as it is, and is counted with.
+    if setrlimit(Resource::Nofile, most).is_ok() {
+        bound = most;
+    }
+    let limit = bound.current.unwrap_or(u64::MAX);
     // Each sender has a link to each endpoint and to discovery, and one from its clients.
     let each = (endpoints as u64 + 2) * (1 + PER_LINK);
     usize::try_from(limit.saturating_sub(OWN) / each).unwrap_or(usize::MAX)
