--- a/crates/range/src/platform/destination.rs
+++ b/crates/range/src/platform/destination.rs
@@ -223,11 +223,6 @@
         self.troubles.contains_key(&Kind::Silent)
     }
 
-    /// Calls in service or waiting at that place.
-    pub fn load(&self, place: usize) -> usize {
-        self.places[place].serving.len() + self.places[place].waiting.len()
-    }
-
     fn chance(&mut self, share: f64) -> bool {
         share > 0.0 && self.random.random::<f64>() < share
     }
