Tell changes of the list in order, and start a sender only once the one before has ended

Change: one queue of changes; a start waits for the end of a process that was told to end and leaves one that was not; the test bounds the share on both sides; the verdict is printed first.

--- a/crates/cairnpulley/src/range.rs
+++ b/crates/cairnpulley/src/range.rs
@@ -151,12 +151,13 @@
         eprintln!("seed {seed}");
         let plan = Arc::new(Plan::draw(spec, Seed(seed)));
         let Some(played) = play(&plan, out.as_ref())? else { return Ok(Exit::Interrupted) };
-        if let Some(out) = &out {
-            out.keep(&plan, &played)?;
-        }
         if !options.json {
             output::print(&played.verdict);
         }
+        // After the verdict, which a full disk must not cost.
+        if let Some(out) = &out {
+            out.keep(&plan, &played)?;
+        }
         worst = match (worst, Exit::of(&played.verdict)) {
             (Exit::Broken, _) | (_, Exit::Broken) => Exit::Broken,
             (Exit::Void, _) | (_, Exit::Void) => Exit::Void,
--- a/crates/range/src/discovery.rs
+++ b/crates/range/src/discovery.rs
@@ -18,7 +18,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 /// The longest watch (PROTOCOL, Discovery).
@@ -36,6 +36,9 @@
     Crowded,
 }
 
+/// A change of an endpoint, and when it is told.
+type Change = (Instant, u32, Lifecycle);
+
 struct Shared {
     list: Mutex<List>,
     /// The list's version as far as it is told.
@@ -54,6 +57,7 @@
 
 pub struct Discovery {
     shared: Arc<Shared>,
+    changes: mpsc::UnboundedSender<Change>,
     /// By sender.
     addresses: Mutex<Vec<SocketAddr>>,
 }
@@ -80,7 +84,9 @@
             limit: Mutex::new(Limit::new(Form::Rate, 1.0, false)),
         });
         let addresses = Mutex::new(open(&shared)?);
-        Ok(Discovery { shared, addresses })
+        let (changes, to_tell) = mpsc::unbounded_channel();
+        tokio::spawn(shared.clone().publish(to_tell));
+        Ok(Discovery { shared, changes, addresses })
     }
 
     pub fn address(&self, sender: u32) -> SocketAddr {
@@ -92,22 +98,14 @@
         self.shared.form(sender, &self.shared.list.lock().expect("no holder panics").since(None))
     }
 
-    /// An endpoint changes; discovery tells so late as the experiment has it.
+    /// An endpoint changes; discovery tells so late as the experiment has it, and nothing before what came earlier.
     pub fn change(&self, endpoint: u32, lifecycle: Lifecycle) {
-        let shared = self.shared.clone();
-        shared.ground.ledger.note(What::Changed { endpoint, lifecycle });
-        let late = {
-            let [low, high] = shared.plan.spec.platform.notice_s;
-            let share: f64 = shared.late.lock().expect("no holder panics").random();
-            low + (high - low) * share
-        };
-        let at = Instant::now() + span(seconds(late));
-        tokio::spawn(async move {
-            sleep_until(at).await;
-            let mut list = shared.list.lock().expect("no holder panics");
-            list.set(endpoint, lifecycle);
-            shared.news.send_replace(list.generation());
-        });
+        self.shared.ground.ledger.note(What::Changed { endpoint, lifecycle });
+        let [low, high] = self.shared.plan.spec.platform.notice_s;
+        let share: f64 = self.shared.late.lock().expect("no holder panics").random();
+        let at = Instant::now() + span(seconds(low + (high - low) * share));
+        // It ends with the play.
+        let _ = self.changes.send((at, endpoint, lifecycle));
     }
 
     pub fn trouble(&self, kind: Kind, size: f64, begins: bool) {
@@ -155,6 +153,16 @@
 }
 
 impl Shared {
+    /// Tells changes one after the other, each when its time has come.
+    async fn publish(self: Arc<Self>, mut changes: mpsc::UnboundedReceiver<Change>) {
+        while let Some((at, endpoint, lifecycle)) = changes.recv().await {
+            sleep_until(at).await;
+            let mut list = self.list.lock().expect("no holder panics");
+            list.set(endpoint, lifecycle);
+            self.news.send_replace(list.generation());
+        }
+    }
+
     async fn accept(self: Arc<Self>, sender: u32, listener: TcpListener) {
         let mut moves = self.moves.subscribe();
         loop {
--- a/crates/range/src/play.rs
+++ b/crates/range/src/play.rs
@@ -226,7 +226,7 @@
         progress: &watch::Sender<Progress>,
     ) -> Result<(), PlayError> {
         for number in 0..self.senders.len() {
-            self.start(number as u32, Folder::Keep)?;
+            self.start(number as u32, Folder::Keep).await?;
         }
         let until = Instant::now() + within;
         for (ready, sender) in self.senders.iter().enumerate() {
@@ -238,22 +238,21 @@
         Ok(())
     }
 
-    fn start(&mut self, sender: u32, folder: Folder) -> Result<(), PlayError> {
+    async fn start(&mut self, sender: u32, folder: Folder) -> Result<(), PlayError> {
         let known = self.discovery.known(sender);
-        Ok(self.senders[sender as usize].start(folder, known, self.seeds.next_u64())?)
+        Ok(self.senders[sender as usize].start(folder, known, self.seeds.next_u64()).await?)
     }
 
     async fn schedule(&mut self, plan: &Plan, from: Ns) -> Result<(), PlayError> {
         for step in &plan.schedule {
             self.ground.clock.sleep_until(from + step.at).await;
             tracing::info!(at_ms = step.at / MS, does = ?step.does, "by schedule");
-            self.carry_out(&step.does, from)?;
+            self.carry_out(&step.does, from).await?;
         }
         Ok(())
     }
 
-    fn carry_out(&mut self, does: &Does, from: Ns) -> Result<(), PlayError> {
-        let strike = |sender: u32, blow| self.senders[sender as usize].strike(blow);
+    async fn carry_out(&mut self, does: &Does, from: Ns) -> Result<(), PlayError> {
         let list = |endpoint, lifecycle| {
             self.endpoints.set(endpoint, lifecycle);
             self.discovery.change(endpoint, lifecycle);
@@ -264,17 +263,17 @@
             Does::Drain { endpoint } => list(endpoint, Lifecycle::Terminating),
             Does::Gone { endpoint } => list(endpoint, Lifecycle::Gone),
             Does::Add { endpoint } => list(endpoint, Lifecycle::Ready),
-            Does::Kill { sender } => strike(sender, Blow::Kill),
-            Does::Terminate { sender } => strike(sender, Blow::Terminate),
-            Does::Pause { sender } => strike(sender, Blow::Pause),
-            Does::Continue { sender } => strike(sender, Blow::Continue),
+            Does::Kill { sender } => self.senders[sender as usize].strike(Blow::Kill),
+            Does::Terminate { sender } => self.senders[sender as usize].strike(Blow::Terminate),
+            Does::Pause { sender } => self.senders[sender as usize].strike(Blow::Pause),
+            Does::Continue { sender } => self.senders[sender as usize].strike(Blow::Continue),
             Does::Start { sender, folder } => {
                 if folder == Folder::Another {
                     let other = (sender as usize + 1) % self.senders.len();
                     let state = self.senders[other].state();
                     self.senders[sender as usize].take_folder(&state)?;
                 }
-                self.start(sender, folder)?;
+                self.start(sender, folder).await?;
             }
             Does::Link { sender, link, kind, size, begins } => {
                 self.ground.ledger.note(What::Link { sender, link, kind, begins });
@@ -297,12 +296,12 @@
 
     /// Ends all senders, as a planned restart does, and waits until they have ended.
     async fn end(&mut self) {
-        for sender in &self.senders {
+        for sender in &mut self.senders {
             sender.strike(Blow::Continue);
             sender.strike(Blow::Terminate);
         }
         let until = Instant::now() + ENDS_WITHIN;
-        for sender in &self.senders {
+        for sender in &mut self.senders {
             let mut phase = sender.phase();
             if tokio::time::timeout_at(until, phase.wait_for(|p| *p == Phase::Down)).await.is_err() {
                 sender.strike(Blow::Kill);
--- a/crates/range/src/process.rs
+++ b/crates/range/src/process.rs
@@ -22,6 +22,8 @@
 /// How often a sender is asked whether it is ready, and how long each time.
 const ASK_EVERY: Duration = Duration::from_millis(20);
 const ANSWERS_WITHIN: Duration = Duration::from_secs(1);
+/// A process that got SIGKILL has ended by then, unless something is wrong with the machine.
+const ENDS_WITHIN: Duration = Duration::from_secs(10);
 /// Bytes of a process's output that are kept; what is past it is read and dropped, so that the process goes on.
 const LOG_BOUND: u64 = 64 << 20;
 
@@ -31,6 +33,8 @@
     Spawn { program: PathBuf, error: io::Error },
     #[error("cannot write {path}: {error}")]
     File { path: PathBuf, error: io::Error },
+    #[error("sender {sender} has not ended after SIGKILL")]
+    Lingers { sender: u32 },
     #[error("no address for a sender: {0}")]
     Address(io::Error),
 }
@@ -63,6 +67,8 @@
     ready_within: Duration,
     phase: Arc<watch::Sender<Phase>>,
     blows: Option<mpsc::UnboundedSender<Blow>>,
+    /// By the schedule there is a process.
+    wanted: bool,
     ground: Ground,
 }
 
@@ -97,6 +103,7 @@
             ready_within: Duration::from_secs_f64(program_limits.ready_s),
             phase: Arc::new(watch::Sender::new(Phase::Down)),
             blows: None,
+            wanted: false,
             ground: ground.clone(),
         })
     }
@@ -152,7 +159,18 @@
     }
 
     /// Starts a process. `known` is the list as this sender last had it, `seed` its random numbers' (new each time).
-    pub fn start(&mut self, folder: Folder, known: Value, seed: u64) -> Result<(), ProcessError> {
+    ///
+    /// One that was told to end is waited for, as its successor gets its address and its folder; where one runs that
+    /// was not, as where two restarts cross each other, that one is left alone.
+    pub async fn start(&mut self, folder: Folder, known: Value, seed: u64) -> Result<(), ProcessError> {
+        if self.wanted {
+            return Ok(());
+        }
+        let ended = timeout(ENDS_WITHIN, self.phase().wait_for(|p| *p == Phase::Down)).await.is_ok();
+        if !ended {
+            return Err(ProcessError::Lingers { sender: self.number });
+        }
+        self.wanted = true;
         let state = self.state();
         if folder == Folder::Empty {
             let emptied = std::fs::remove_dir_all(&state).and_then(|()| std::fs::create_dir_all(&state));
@@ -195,7 +213,8 @@
     }
 
     /// Does something to the process, if there is one.
-    pub fn strike(&self, blow: Blow) {
+    pub fn strike(&mut self, blow: Blow) {
+        self.wanted &= !matches!(blow, Blow::Kill | Blow::Terminate);
         if let Some(blows) = &self.blows {
             // Its process may have ended.
             let _ = blows.send(blow);
--- a/crates/range/src/sim/world/lists.rs
+++ b/crates/range/src/sim/world/lists.rs
@@ -13,7 +13,9 @@
         self.note(What::Changed { endpoint, lifecycle });
         let [low, high] = self.plan.spec.platform.notice_s;
         let late = low + (high - low) * self.late.random::<f64>();
-        self.after(seconds(late), Happens::Publish { endpoint, lifecycle });
+        // Nothing is told before what came earlier.
+        self.published = self.published.max(self.now + seconds(late));
+        self.queue.push(self.published, Happens::Publish { endpoint, lifecycle });
     }
 
     /// Tells each sender that can hear it what is new to it.
--- a/crates/range/src/sim/world/mod.rs
+++ b/crates/range/src/sim/world/mod.rs
@@ -145,6 +145,8 @@
     discovery: Vec<Kind>,
     links: BTreeMap<(Link, u32), Way>,
     late: ChaCha8Rng,
+    /// When the last change is told that there was.
+    published: Ns,
     seeds: ChaCha8Rng,
     /// Clients that are to come again.
     away: usize,
@@ -188,6 +190,7 @@
             discovery: Vec::new(),
             links,
             late: plan.seed.stream("notices", 0),
+            published: 0,
             seeds: plan.seed.stream("processes", 0),
             away: 0,
             plan,
--- a/crates/range/tests/play.rs
+++ b/crates/range/tests/play.rs
@@ -78,3 +78,19 @@
     let played = played_by(Path::new("/usr/bin/yes"), text, 1);
     assert_eq!(broken(&played), BTreeSet::from([Rule::Crash]));
 }
+
+/// A start that comes as the process before is still ending waits for its end, and one that finds a process leaves it.
+#[test]
+fn restarts_without_a_pause_and_across_one_another_leave_one_process() {
+    let text = "seconds = 3\nsenders = 2\n\
+        [[event]]\nwhat = 'kill'\nat = 1\nfor = 0\nwhich = [0]\n\
+        [[event]]\nwhat = 'kill'\nat = 1\nfor = 0.5\nwhich = [1]\n\
+        [[event]]\nwhat = 'kill'\nat = 1.2\nfor = 0.9\nwhich = [1]\n";
+    let played = played_by(&sender(), text, 7);
+    assert_eq!(broken(&played), BTreeSet::new(), "{:#?}", played.verdict.breaks);
+    let started = |of: u32| {
+        let is = |w: &What| matches!(w, What::Process { sender, life: Life::Started } if *sender == of);
+        played.facts.iter().filter(|f| is(&f.what)).count()
+    };
+    assert_eq!((started(0), started(1)), (2, 2));
+}
--- a/crates/range/tests/relay.rs
+++ b/crates/range/tests/relay.rs
@@ -175,11 +175,10 @@
     for number in 0..100u8 {
         near.send_to(&[number], relay.address()).await.unwrap();
     }
-    condition.send_modify(|c| c.to.loss = 0.0);
     let mut count = 0;
     while let Ok(Ok((1, _))) = timeout(LOOK, target.recv_from(&mut buffer)).await {
         count += 1;
     }
-    // All were under way before the loss ended, or the first of them at least.
-    assert!((20..=100).contains(&count), "{count} of 100");
+    // The same ones each time, as the seed draws them.
+    assert!((30..=70).contains(&count), "{count} of 100");
 }
--- a/crates/range/tests/sim.rs
+++ b/crates/range/tests/sim.rs
@@ -4,6 +4,7 @@
 use range::seed::Seed;
 use range::sim::{simulate, Simulated};
 use range::spec::Spec;
+use std::collections::HashMap;
 use std::path::Path;
 
 fn simulated(text: &str, seed: u64) -> Simulated {
@@ -47,3 +48,30 @@
         assert_eq!((lives(Life::Killed), lives(Life::Ready)), (20, 68), "seed {seed}");
     }
 }
+
+/// A list that is told late is told in order: an endpoint that is gone does not come back as one that drains.
+#[test]
+fn changes_of_the_list_are_told_in_their_order_however_late_each_is() {
+    let text = "seconds = 30\n[platform]\nnotice_s = [0.0, 9.0]\n\
+        [[event]]\nwhat = 'replace'\nat = 2\nfor = 8\npart = 1.0\n";
+    for seed in 1..=10 {
+        let mut last = HashMap::new();
+        let mut order = Vec::new();
+        for fact in simulated(text, seed).facts {
+            match fact.what {
+                What::Changed { endpoint, lifecycle } => order.push((endpoint, lifecycle)),
+                What::Told { sender, endpoint, lifecycle } => {
+                    let place =
+                        order.iter().position(|c| *c == (endpoint, lifecycle)).expect("it has changed");
+                    let before = last.insert((sender, endpoint), place);
+                    assert!(
+                        before.is_none_or(|b| b <= place),
+                        "seed {seed}, endpoint {endpoint}: {lifecycle:?}"
+                    );
+                }
+                _ => {}
+            }
+        }
+        assert!(!last.is_empty());
+    }
+}
