Read each segment once at the start; change a sender's folder only where it is started

Cause: opening the log read every segment twice, first whole for its header alone; cleaning looked for each key among all images; and a start that is left out, as a process runs, would still have replaced that process's folder by another's.

Change: the header alone is read first, cleaning looks keys up in a set, and the folder is changed by the start itself.

--- a/crates/range/src/play.rs
+++ b/crates/range/src/play.rs
@@ -240,7 +240,10 @@
 
     async fn start(&mut self, sender: u32, folder: Folder) -> Result<(), PlayError> {
         let known = self.discovery.known(sender);
-        Ok(self.senders[sender as usize].start(folder, known, self.seeds.next_u64()).await?)
+        let next = (sender as usize + 1) % self.senders.len();
+        let other = self.senders[next].state();
+        let seed = self.seeds.next_u64();
+        Ok(self.senders[sender as usize].start(folder, &other, known, seed).await?)
     }
 
     async fn schedule(&mut self, plan: &Plan, from: Ns) -> Result<(), PlayError> {
@@ -267,14 +270,7 @@
             Does::Terminate { sender } => self.senders[sender as usize].strike(Blow::Terminate),
             Does::Pause { sender } => self.senders[sender as usize].strike(Blow::Pause),
             Does::Continue { sender } => self.senders[sender as usize].strike(Blow::Continue),
-            Does::Start { sender, folder } => {
-                if folder == Folder::Another {
-                    let other = (sender as usize + 1) % self.senders.len();
-                    let state = self.senders[other].state();
-                    self.senders[sender as usize].take_folder(&state)?;
-                }
-                self.start(sender, folder).await?;
-            }
+            Does::Start { sender, folder } => self.start(sender, folder).await?,
             Does::Link { sender, link, kind, size, begins } => {
                 self.ground.ledger.note(What::Link { sender, link, kind, begins });
                 self.links.strike(link, sender, kind, size, begins);
--- a/crates/range/src/process.rs
+++ b/crates/range/src/process.rs
@@ -138,31 +138,17 @@
         self.folder.join("state")
     }
 
-    /// The lasting folder becomes a copy of another one's files; what this sender owed is lost.
-    pub fn take_folder(&self, other: &Path) -> Result<(), ProcessError> {
-        let own = self.state();
-        let copy = || -> io::Result<()> {
-            std::fs::remove_dir_all(&own)?;
-            std::fs::create_dir_all(&own)?;
-            for entry in std::fs::read_dir(other)? {
-                let entry = entry?;
-                // Sockets of the other's process are no files of its folder's.
-                if entry.file_type()?.is_file() {
-                    std::fs::copy(entry.path(), own.join(entry.file_name()))?;
-                }
-            }
-            Ok(())
-        };
-        copy().map_err(|error| ProcessError::File { path: own.clone(), error })?;
-        self.note(Life::Emptied);
-        Ok(())
-    }
-
-    /// Starts a process. `known` is the list as this sender last had it, `seed` its random numbers' (new each time).
+    /// Starts a process. `other` is the folder that it finds where that is another's, `known` is the list as this sender last had it, `seed` its random numbers' (new each time).
     ///
     /// One that was told to end is waited for, as its successor gets its address and its folder; where one runs that
     /// was not, as where two restarts cross each other, that one is left alone.
-    pub async fn start(&mut self, folder: Folder, known: Value, seed: u64) -> Result<(), ProcessError> {
+    pub async fn start(
+        &mut self,
+        folder: Folder,
+        other: &Path,
+        known: Value,
+        seed: u64,
+    ) -> Result<(), ProcessError> {
         if self.wanted {
             return Ok(());
         }
@@ -172,9 +158,12 @@
         }
         self.wanted = true;
         let state = self.state();
-        if folder == Folder::Empty {
-            let emptied = std::fs::remove_dir_all(&state).and_then(|()| std::fs::create_dir_all(&state));
-            emptied.map_err(|error| ProcessError::File { path: state.clone(), error })?;
+        if folder != Folder::Keep {
+            let changed = || match folder {
+                Folder::Another => copy_files(other, &state),
+                _ => empty(&state),
+            };
+            changed().map_err(|error| ProcessError::File { path: state.clone(), error })?;
             self.note(Life::Emptied);
         }
         self.config["known"] = known;
@@ -238,6 +227,23 @@
     }
 }
 
+fn empty(folder: &Path) -> io::Result<()> {
+    std::fs::remove_dir_all(folder)?;
+    std::fs::create_dir_all(folder)
+}
+
+/// Makes a folder hold copies of another one's files. Sockets of the other's process are none of them.
+fn copy_files(from: &Path, to: &Path) -> io::Result<()> {
+    empty(to)?;
+    for entry in std::fs::read_dir(from)? {
+        let entry = entry?;
+        if entry.file_type()?.is_file() {
+            std::fs::copy(entry.path(), to.join(entry.file_name()))?;
+        }
+    }
+    Ok(())
+}
+
 fn boxed(output: impl AsyncRead + Send + Unpin + 'static) -> Box<dyn AsyncRead + Send + Unpin> {
     Box::new(output)
 }
--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -1,7 +1,7 @@
 //! A folder on a real disk.
 use crate::files::{Append, Files};
 use std::fs::{self, File, OpenOptions};
-use std::io::{self, Write};
+use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
 
 #[derive(Clone, Debug)]
@@ -35,6 +35,12 @@
         fs::read(self.folder.join(name))
     }
 
+    fn head(&self, name: &str, length: usize) -> io::Result<Vec<u8>> {
+        let mut bytes = Vec::new();
+        File::open(self.folder.join(name))?.take(length as u64).read_to_end(&mut bytes)?;
+        Ok(bytes)
+    }
+
     fn create(&self, name: &str) -> io::Result<File> {
         File::create(self.folder.join(name))
     }
--- a/crates/store/src/files.rs
+++ b/crates/store/src/files.rs
@@ -8,6 +8,8 @@
     /// Names of all files, in any order.
     fn names(&self) -> io::Result<Vec<String>>;
     fn read(&self, name: &str) -> io::Result<Vec<u8>>;
+    /// The first bytes of a file, so many or all that there are.
+    fn head(&self, name: &str, length: usize) -> io::Result<Vec<u8>>;
     /// Creates a file; one of that name is emptied.
     fn create(&self, name: &str) -> io::Result<Self::File>;
     /// Cuts a file to so many bytes, durably.
--- a/crates/store/src/log.rs
+++ b/crates/store/src/log.rs
@@ -212,7 +212,7 @@
     /// Checks that a segment is this owner's and of this format; its first sequence number, if it can be read.
     fn look_at(&self, number: u64) -> Result<Option<u64>, OpenError> {
         let file = segment_name(number);
-        let bytes = self.files.read(&file)?;
+        let bytes = self.files.head(&file, HEADER)?;
         let Some(header) = frame::decode_header(&bytes) else { return Ok(None) };
         if header.version != VERSION {
             return Err(OpenError::Version { file, found: header.version.into() });
@@ -415,9 +415,8 @@
     fn clean(&mut self, keys: &[u64], images: &impl Images) -> io::Result<()> {
         let again: Vec<(u64, Vec<u8>)> = keys.iter().filter_map(|k| Some((*k, images.image(*k)?))).collect();
         // A key that its user no longer knows is owed nothing.
-        for key in keys.iter().filter(|k| !again.iter().any(|(a, _)| a == *k)) {
-            self.leave(*key);
-        }
+        let known: BTreeSet<u64> = again.iter().map(|(key, _)| *key).collect();
+        keys.iter().filter(|key| !known.contains(key)).for_each(|key| self.leave(*key));
         let entries: Vec<Entry> =
             again.iter().map(|(key, image)| Entry { key: *key, does: Does::Begin, payload: image }).collect();
         self.put(&entries)
--- a/crates/store/src/sim.rs
+++ b/crates/store/src/sim.rs
@@ -217,6 +217,12 @@
         Ok(state.inodes[inode].data.clone())
     }
 
+    fn head(&self, name: &str, length: usize) -> io::Result<Vec<u8>> {
+        let mut bytes = self.read(name)?;
+        bytes.truncate(length);
+        Ok(bytes)
+    }
+
     fn create(&self, name: &str) -> io::Result<SimFile> {
         let mut state = self.state.borrow_mut();
         state.call().map_err(error)?;
