Store: bytes of damage set aside, folders read without change, no endless cleaning

Need: the sender is about to go on the log, and tools have to read a folder without a change to it. Tried beforehand: a log of which more lived than cleaning can make room for cleaned its segments round and round for ever (a test of it grew to the machine's memory), and one that was full to the brim could not write the end of anything either. Without syncs the ends since the last sync were kept in memory and there never was one, so they would have grown with every message.

Change: `survey` reads a folder and tells its damage, without a change; what its reader does not know (a record of a later form) is refused before anything is cut. Damaged places are copied to files of their own, in a thirty-second of the limit. A call cleans each segment once at most, and what begins leaves the room in which ends are written. A write that fails leaves the keys that its user gave up ended. A sync can be seen to by another thread (`begin_sync`, `synced`).

--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -72,4 +72,8 @@
     fn sync(&mut self) -> io::Result<()> {
         self.sync_data()
     }
+
+    fn another(&self) -> io::Result<File> {
+        self.try_clone()
+    }
 }
--- a/crates/store/src/files.rs
+++ b/crates/store/src/files.rs
@@ -22,9 +22,11 @@
 }
 
 /// A file that is only written at its end.
-pub trait Append {
+pub trait Append: Sized {
     fn append(&mut self, bytes: &[u8]) -> io::Result<()>;
     /// Makes what was appended durable. Once it has failed nothing may be trusted that was appended since the last
     /// time that it did not.
     fn sync(&mut self) -> io::Result<()>;
+    /// The same open file once more, so that another thread can sync it.
+    fn another(&self) -> io::Result<Self>;
 }
--- a/crates/store/src/log.rs
+++ b/crates/store/src/log.rs
@@ -1,19 +1,16 @@
-//! The log: segments, their cleaning, and what is read of them at the start.
+//! The log: segments, their cleaning, and what becomes durable when.
+use crate::accounts::{Accounts, BLOCK};
 use crate::files::{Append, Files};
 use crate::frame::{self, Does, Record, FRAME, HEADER, OWNER, PAYLOAD, VERSION};
-use crate::scan::scan;
-use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use crate::quarantine::{set_aside, Aside};
+use crate::survey::{segment_name, Damage, Manifest, OpenError, Survey, MANIFEST, MANIFEST_NEW};
+use std::collections::BTreeSet;
 use std::io;
-use std::ops::Range;
 
-const MANIFEST: &str = "manifest";
-const MANIFEST_NEW: &str = "manifest.new";
-const SEGMENT: &str = "seg-";
-/// Each file counts in whole blocks (DEPLOY, Limits).
-const BLOCK: u64 = 512;
 /// A segment's part of the limit.
 const PARTS: u64 = 16;
+/// Part of the limit for bytes set aside from damaged places.
+const ASIDE: u64 = 32;
 /// Room for the manifest, twice while it is written anew.
 const MANIFESTS: u64 = 2 * BLOCK;
 
@@ -29,56 +26,12 @@
     pub durable: bool,
 }
 
-#[derive(Debug, thiserror::Error)]
-pub enum OpenError {
-    #[error(transparent)]
-    Io(#[from] io::Error),
-    #[error(
-        "{file} is of format {found}, and this program reads format {VERSION}: use the program that wrote it"
-    )]
-    Version { file: String, found: u64 },
-    #[error("{file} belongs to {found:?}, and this is {own:?}: nothing was changed")]
-    Foreign { file: String, found: String, own: String },
-    #[error("the owner's name {0:?} is longer than {OWNER} bytes")]
-    Owner(String),
-}
-
-/// What is wrong with a place in the files.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Damage {
-    /// The last thing written is cut short, as a crash leaves it.
-    TornTail {
-        segment: u64,
-        at: u64,
-        bytes: u64,
-    },
-    /// Bytes in the middle that are no records.
-    Middle {
-        segment: u64,
-        range: Range<u64>,
-    },
-    /// Records that should be there are not.
-    Missing {
-        sequences: Range<u64>,
-    },
-    Header {
-        segment: u64,
-    },
-    Manifest,
-}
-
-impl Damage {
-    /// Whether a crash explains it, so that nothing acknowledged is gone.
-    pub fn is_expected(&self) -> bool {
-        matches!(self, Damage::TornTail { .. })
-    }
-}
-
 /// What was found at the start.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Found {
     pub records: usize,
     pub damage: Vec<Damage>,
+    pub aside: Aside,
 }
 
 /// All that is known of a key, as one payload; none where nothing is owed for it.
@@ -94,43 +47,35 @@
     pub payload: &'a [u8],
 }
 
-#[derive(Serialize, Deserialize)]
-struct Manifest {
-    format: u64,
-    owner: String,
-    /// The first segment that counts.
-    first: u64,
+/// What has been appended and is not known to be durable, for any thread to see to.
+pub struct Unsynced<F> {
+    file: F,
+    upto: u64,
 }
 
-/// A key for which something is owed.
-struct Live {
-    /// Where it begins.
-    segment: u64,
-    /// Of all its records since.
-    bytes: u64,
-    /// Of its last record.
-    sequence: u64,
-}
-
-#[derive(Default)]
-struct Segment {
-    length: u64,
-    /// Keys that begin in it.
-    keys: BTreeSet<u64>,
+impl<F: Append> Unsynced<F> {
+    /// Waits until it is on disk. [`Log::synced`] has to hear what came of it.
+    pub fn sync(&mut self) -> io::Result<()> {
+        self.file.sync()
+    }
 }
 
-impl Segment {
-    fn room(&self) -> u64 {
-        self.length.div_ceil(BLOCK) * BLOCK
-    }
+/// What a log has done since it was opened.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Work {
+    /// Bytes written to segments, and those of them that cleaning moved.
+    pub written: u64,
+    pub moved: u64,
+    /// Segments that were cleaned or let go.
+    pub released: u64,
+    pub syncs: u64,
 }
 
 pub struct Log<F: Files> {
     files: F,
     config: Config,
     segment_size: u64,
-    segments: BTreeMap<u64, Segment>,
-    live: BTreeMap<u64, Live>,
+    accounts: Accounts,
     /// The segment that is written to, by number.
     current: Option<(u64, F::File)>,
     /// Numbers of the next segment and the next record.
@@ -138,188 +83,84 @@
     next: u64,
     /// The first record that is not known to be synced.
     unsynced: u64,
-    /// Ends among those.
+    /// Ends among those, where syncs matter.
     ended: Vec<(u64, u64)>,
     /// A write or a sync has failed: what is not synced has to be written anew elsewhere.
     doubt: bool,
+    /// Bytes that damaged places take which were set aside.
+    aside: u64,
+    work: Work,
 }
 
-fn segment_name(number: u64) -> String {
-    format!("{SEGMENT}{number:016x}")
-}
-
-fn segment_number(name: &str) -> Option<u64> {
-    let digits = name.strip_prefix(SEGMENT)?;
-    (digits.len() == 16).then(|| u64::from_str_radix(digits, 16).ok()).flatten()
+fn full() -> io::Error {
+    io::Error::new(io::ErrorKind::StorageFull, "the log has no room")
 }
 
 impl<F: Files> Log<F> {
-    /// Reads what is there, in order, and cuts off what a crash has left torn. Files that are refused are not changed.
+    /// Reads what is there, in order, and cuts off what a crash has left torn. Files that are refused are not changed,
+    /// nor are any where `read` can't make sense of a record.
     pub fn open(
         files: F,
         config: Config,
-        mut read: impl FnMut(Record),
+        mut read: impl FnMut(Record) -> Result<(), String>,
     ) -> Result<(Log<F>, Found), OpenError> {
         if config.owner.len() > OWNER {
             return Err(OpenError::Owner(config.owner));
         }
-        let names = files.names()?;
-        let mut found = Found::default();
-        let manifest = read_manifest(&files, &names, &config, &mut found)?;
-        let mut numbers: Vec<u64> = names.iter().filter_map(|n| segment_number(n)).collect();
-        numbers.sort_unstable();
-        let next_segment = numbers.last().map_or(1, |n| n + 1);
-        let (stale, counted): (Vec<u64>, Vec<u64>) =
-            numbers.into_iter().partition(|n| manifest.as_ref().is_some_and(|m| *n < m.first));
+        let mut accounts = Accounts::default();
+        let survey = Survey::read(&files, Some(&config.owner), |segment, record| {
+            accounts.enter(segment, &record);
+            read(record)
+        })?;
+        // All has been read: from here on files change.
+        survey.segments.iter().for_each(|(number, length)| accounts.set_length(*number, *length));
+        let aside = set_aside(&files, &survey.damage, config.limit / ASIDE)?;
+        match survey.torn {
+            Some((number, 0)) => files.remove(&segment_name(number))?,
+            Some((number, at)) => files.cut(&segment_name(number), at)?,
+            None => {}
+        }
+        for number in &survey.stale {
+            files.remove(&segment_name(*number))?;
+        }
+        if survey.manifest_new {
+            files.remove(MANIFEST_NEW)?;
+        }
         let segment_size =
             (config.limit / PARTS / BLOCK * BLOCK).max((HEADER + FRAME + config.largest.min(PAYLOAD)) as u64);
         let mut log = Log {
             files,
             config,
             segment_size,
-            segments: BTreeMap::new(),
-            live: BTreeMap::new(),
+            accounts,
             current: None,
-            next_segment,
-            next: 1,
-            unsynced: 1,
+            next_segment: survey.next_segment,
+            next: survey.next,
+            unsynced: survey.next,
             ended: Vec::new(),
             doubt: false,
+            aside: aside.room,
+            work: Work::default(),
         };
-        // All are looked at before anything is changed.
-        let mut firsts = Vec::new();
-        for number in &counted {
-            firsts.push(log.look_at(*number)?);
-        }
-        for (place, number) in counted.iter().enumerate() {
-            let bound = firsts[place + 1..].iter().flatten().next().copied();
-            log.read_segment(*number, place + 1 == counted.len(), bound, &mut found, &mut read)?;
-        }
-        log.unsynced = log.next;
-        for number in stale {
-            log.files.remove(&segment_name(number))?;
-        }
-        if names.iter().any(|n| n == MANIFEST_NEW) {
-            log.files.remove(MANIFEST_NEW)?;
-        }
-        if manifest.is_none() {
-            let first = log.segments.keys().next().copied().unwrap_or(log.next_segment);
+        if survey.first.is_none() {
+            let first = survey.segments.first().map_or(log.next_segment, |(number, _)| *number);
             log.write_manifest(first)?;
         }
-        Ok((log, found))
-    }
-
-    /// Checks that a segment is this owner's and of this format; its first sequence number, if it can be read.
-    fn look_at(&self, number: u64) -> Result<Option<u64>, OpenError> {
-        let file = segment_name(number);
-        let bytes = self.files.head(&file, HEADER)?;
-        let Some(header) = frame::decode_header(&bytes) else { return Ok(None) };
-        if header.version != VERSION {
-            return Err(OpenError::Version { file, found: header.version.into() });
-        }
-        if header.owner != self.config.owner {
-            return Err(OpenError::Foreign { file, found: header.owner, own: self.config.owner.clone() });
-        }
-        Ok(Some(header.first))
-    }
-
-    /// `bound` is the first sequence number of the segments after it: what goes beyond was never acknowledged.
-    fn read_segment(
-        &mut self,
-        number: u64,
-        is_last: bool,
-        bound: Option<u64>,
-        found: &mut Found,
-        read: &mut impl FnMut(Record),
-    ) -> Result<(), OpenError> {
-        let name = segment_name(number);
-        let bytes = self.files.read(&name)?;
-        let scanned = scan(&bytes, self.next - 1);
-        let mut length = bytes.len() as u64;
-        if scanned.header.is_none() {
-            // Torn before it held anything: nothing was written to it.
-            let empty = is_last && scanned.records.is_empty();
-            if empty {
-                found.damage.push(Damage::TornTail { segment: number, at: 0, bytes: length });
-                self.files.remove(&name)?;
-                return Ok(());
-            }
-            found.damage.push(Damage::Header { segment: number });
-        }
-        self.segments.insert(number, Segment::default());
-        for record in &scanned.records {
-            if bound.is_some_and(|bound| record.sequence >= bound) {
-                break;
-            }
-            if record.sequence > self.next && found.records > 0 {
-                found.damage.push(Damage::Missing { sequences: self.next..record.sequence });
-            }
-            // Written once more after a doubt: the later one holds.
-            if record.sequence < self.next {
-                continue;
-            }
-            found.records += 1;
-            read(*record);
-            self.enter(number, record);
-        }
-        let ranges = scanned.damaged.iter().map(|r| r.start as u64..r.end as u64);
-        found.damage.extend(ranges.map(|range| Damage::Middle { segment: number, range }));
-        if let Some(tail) = scanned.tail.map(|t| t as u64) {
-            if is_last {
-                found.damage.push(Damage::TornTail { segment: number, at: tail, bytes: length - tail });
-                self.files.cut(&name, tail)?;
-                length = tail;
-            } else {
-                found.damage.push(Damage::Middle { segment: number, range: tail..length });
-            }
-        }
-        if let Some(segment) = self.segments.get_mut(&number) {
-            segment.length = length;
-        }
-        Ok(())
-    }
-
-    /// Keeps the account of a record that stands in a segment.
-    fn enter(&mut self, number: u64, record: &Record) {
-        let (key, bytes, sequence) = (record.key, record.length() as u64, record.sequence);
-        self.next = sequence + 1;
-        match record.does {
-            Does::Begin => {
-                self.leave(key);
-                self.live.insert(key, Live { segment: number, bytes, sequence });
-                if let Some(segment) = self.segments.get_mut(&number) {
-                    segment.keys.insert(key);
-                }
-            }
-            Does::Add => {
-                if let Some(live) = self.live.get_mut(&key) {
-                    live.bytes += bytes;
-                    live.sequence = sequence;
-                }
-            }
-            Does::End => {
-                self.leave(key);
-                self.ended.push((sequence, key));
-            }
-        }
-    }
-
-    fn leave(&mut self, key: u64) {
-        if let Some(live) = self.live.remove(&key) {
-            if let Some(segment) = self.segments.get_mut(&live.segment) {
-                segment.keys.remove(&key);
-            }
-        }
+        Ok((log, Found { records: survey.records, damage: survey.damage, aside }))
     }
 
     /// Bytes that the files take, in whole blocks.
     pub fn used(&self) -> u64 {
-        MANIFESTS + self.segments.values().map(Segment::room).sum::<u64>()
+        MANIFESTS + self.aside + self.accounts.room()
     }
 
     /// Bytes of all that lives, as it was written.
     pub fn living(&self) -> u64 {
-        self.live.values().map(|l| l.bytes).sum()
+        self.accounts.live.values().map(|l| l.bytes).sum()
+    }
+
+    pub fn work(&self) -> Work {
+        self.work
     }
 
     /// Writes records, whole or not at all as far as their fate is known; durable after the next [`Log::sync`].
@@ -337,22 +178,56 @@
             self.settle(images)?;
         }
         let need: u64 = entries.iter().map(|e| (FRAME + e.payload.len()) as u64).sum();
-        self.make_room(need, images)?;
-        self.put(entries)
+        let begins = entries.iter().any(|e| e.does == Does::Begin);
+        self.make_room(need, begins, images)?;
+        self.put(entries).inspect_err(|_| self.doubt = true)
     }
 
     /// Makes all that was appended durable. After an error nothing of it counts as durable before it has succeeded.
     pub fn sync(&mut self, images: &impl Images) -> io::Result<()> {
+        match self.begin_sync(images)? {
+            Some(mut unsynced) => {
+                let result = unsynced.sync();
+                self.synced(&unsynced, result)
+            }
+            None => Ok(()),
+        }
+    }
+
+    /// What there is to sync, for another thread. Nothing may be appended before [`Log::synced`] was told of its end.
+    pub fn begin_sync(&mut self, images: &impl Images) -> io::Result<Option<Unsynced<F::File>>> {
         if self.doubt {
             self.settle(images)?;
         }
-        self.sync_current()
+        match &self.current {
+            Some((_, file)) if self.unsynced < self.next => {
+                Ok(Some(Unsynced { file: file.another()?, upto: self.next }))
+            }
+            _ => Ok(None),
+        }
+    }
+
+    /// What came of a sync.
+    pub fn synced(&mut self, unsynced: &Unsynced<F::File>, result: io::Result<()>) -> io::Result<()> {
+        self.work.syncs += 1;
+        match result {
+            Ok(()) => {
+                self.unsynced = self.unsynced.max(unsynced.upto);
+                self.ended.retain(|(sequence, _)| *sequence >= unsynced.upto);
+                Ok(())
+            }
+            Err(error) => {
+                // The pages may be dropped and yet count as clean: no later sync of this file says anything.
+                self.doubt = true;
+                Err(error)
+            }
+        }
     }
 
     fn sync_current(&mut self) -> io::Result<()> {
         if let Some((_, file)) = &mut self.current {
+            self.work.syncs += 1;
             if let Err(error) = file.sync() {
-                // The pages may be dropped and yet count as clean: no later sync of this file says anything.
                 self.doubt = true;
                 return Err(error);
             }
@@ -363,38 +238,65 @@
     }
 
     /// Writes what is not known to be synced anew, to a segment of its own.
+    ///
+    /// Where syncs don't matter, what was written before the call that failed stands in the files all the same, and
+    /// only keys that came of that call are in doubt.
     fn settle(&mut self, images: &impl Images) -> io::Result<()> {
         self.current = None;
-        let keys: Vec<u64> =
-            self.live.iter().filter(|(_, l)| l.sequence >= self.unsynced).map(|(k, _)| *k).collect();
-        let ends: Vec<u64> =
+        let mut again: Vec<(u64, Vec<u8>)> = Vec::new();
+        let mut ends: Vec<u64> =
             self.ended.iter().filter(|(s, _)| *s >= self.unsynced).map(|(_, k)| *k).collect();
-        let again: Vec<(u64, Vec<u8>)> =
-            keys.into_iter().filter_map(|k| Some((k, images.image(k)?))).collect();
+        for (key, live) in &self.accounts.live {
+            match images.image(*key) {
+                Some(image) if self.config.durable && live.sequence >= self.unsynced => {
+                    again.push((*key, image))
+                }
+                Some(_) => {}
+                // Its user does not know it: the call that wrote it has failed.
+                None => ends.push(*key),
+            }
+        }
         let begins = again.iter().map(|(key, image)| Entry { key: *key, does: Does::Begin, payload: image });
         let ends = ends.into_iter().map(|key| Entry { key, does: Does::End, payload: &[] });
         // Ends first: a key that ended and began anew lives.
         let entries: Vec<Entry> = ends.chain(begins).collect();
+        let need: u64 = entries.iter().map(|e| (FRAME + e.payload.len()) as u64).sum();
+        // Nothing can be let go before this is written, and the limit holds all the same.
+        self.fits(need)?;
         self.put(&entries)?;
-        if let Some((_, file)) = &mut self.current {
-            file.sync()?;
+        if self.config.durable {
+            if let Some((_, file)) = &mut self.current {
+                self.work.syncs += 1;
+                file.sync()?;
+            }
         }
         self.doubt = false;
         Ok(())
     }
 
-    /// Lets go of segments until `need` more bytes fit, with room left to clean the next one.
-    fn make_room(&mut self, need: u64, images: &impl Images) -> io::Result<()> {
+    /// Bytes of headers and blocks begun by what is written.
+    fn around(&self, need: u64) -> u64 {
+        (need / self.segment_size + 2) * (HEADER as u64 + BLOCK)
+    }
+
+    fn fits(&self, need: u64) -> io::Result<()> {
+        let segments = need / self.segment_size + 1;
+        match self.used() + need + segments * HEADER as u64 + (segments + 1) * BLOCK <= self.config.limit {
+            true => Ok(()),
+            false => Err(full()),
+        }
+    }
+
+    /// Lets go of segments until `need` more bytes fit, with room left to clean the next one. That room is for what
+    /// ends: nothing begins in it.
+    fn make_room(&mut self, need: u64, begins: bool, images: &impl Images) -> io::Result<()> {
+        // Each is cleaned once at most: where so much lives that this makes no room, going round makes none either.
+        let last = self.next_segment;
         loop {
             self.release()?;
-            let oldest = self.segments.iter().next();
-            let Some((number, keys)) = oldest.map(|(n, s)| (*n, s.keys.iter().copied().collect::<Vec<_>>()))
-            else {
-                break;
-            };
-            let out: u64 = keys.iter().filter_map(|k| self.live.get(k)).map(|l| l.bytes).sum();
-            // Headers and blocks begun by what is written.
-            let around = (need / self.segment_size + 2) * (HEADER as u64 + BLOCK);
+            let Some((number, keys)) = self.accounts.oldest().filter(|(n, _)| *n < last) else { break };
+            let out: u64 = keys.iter().filter_map(|k| self.accounts.live.get(k)).map(|l| l.bytes).sum();
+            let around = self.around(need);
             let reserve = out.max(self.segment_size) + self.segment_size;
             if self.used() + need + around + reserve <= self.config.limit {
                 return Ok(());
@@ -405,9 +307,9 @@
             }
             self.clean(&keys, images)?;
         }
-        match self.used() + need + HEADER as u64 + 2 * BLOCK <= self.config.limit {
-            true => Ok(()),
-            false => Err(io::Error::new(io::ErrorKind::StorageFull, "the log has no room")),
+        match begins {
+            true if !self.accounts.segments.is_empty() => Err(full()),
+            _ => self.fits(need),
         }
     }
 
@@ -416,17 +318,18 @@
         let again: Vec<(u64, Vec<u8>)> = keys.iter().filter_map(|k| Some((*k, images.image(*k)?))).collect();
         // A key that its user no longer knows is owed nothing.
         let known: BTreeSet<u64> = again.iter().map(|(key, _)| *key).collect();
-        keys.iter().filter(|key| !known.contains(key)).for_each(|key| self.leave(*key));
+        keys.iter().filter(|key| !known.contains(key)).for_each(|key| self.accounts.leave(*key));
         let entries: Vec<Entry> =
             again.iter().map(|(key, image)| Entry { key: *key, does: Does::Begin, payload: image }).collect();
-        self.put(&entries)
+        let before = self.work.written;
+        self.put(&entries)?;
+        self.work.moved += self.work.written - before;
+        Ok(())
     }
 
     /// Removes the oldest segments in which no key begins.
     fn release(&mut self) -> io::Result<()> {
-        let current = self.current.as_ref().map(|(n, _)| *n);
-        let free = self.segments.iter().take_while(|(n, s)| s.keys.is_empty() && Some(**n) != current);
-        let free: Vec<u64> = free.map(|(n, _)| *n).collect();
+        let free = self.accounts.free(self.current.as_ref().map(|(n, _)| *n));
         let Some(last) = free.last() else { return Ok(()) };
         if self.config.durable {
             // Ends and images that let them go have to outlast them.
@@ -435,7 +338,8 @@
         self.write_manifest(last + 1)?;
         for number in free {
             self.files.remove(&segment_name(number))?;
-            self.segments.remove(&number);
+            self.accounts.segments.remove(&number);
+            self.work.released += 1;
         }
         Ok(())
     }
@@ -462,7 +366,7 @@
     fn put(&mut self, entries: &[Entry]) -> io::Result<()> {
         let mut rest = entries;
         while !rest.is_empty() {
-            let length = self.current.as_ref().and_then(|(n, _)| self.segments.get(n)).map(|s| s.length);
+            let length = self.current.as_ref().map(|(n, _)| self.accounts.length(*n));
             let room = length.map_or(0, |l| self.segment_size.saturating_sub(l));
             let mut buffer = Vec::new();
             let mut records = Vec::new();
@@ -492,6 +396,15 @@
         Ok(())
     }
 
+    /// Books a record that was written.
+    fn enter(&mut self, segment: u64, record: &Record) {
+        self.next = record.sequence + 1;
+        self.accounts.enter(segment, record);
+        if self.config.durable && record.does == Does::End {
+            self.ended.push((record.sequence, record.key));
+        }
+    }
+
     fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         let Some((number, file)) = &mut self.current else { return Err(io::ErrorKind::NotFound.into()) };
         let number = *number;
@@ -499,19 +412,16 @@
             // What came of it is unknown. The segment is left, and its records are told from those of the next by
             // their sequence numbers.
             self.doubt = true;
-            let length = self.segments.get(&number).map_or(0, |s| s.length);
+            let length = self.accounts.length(number);
             // Should this fail too, the tail counts for nothing all the same, and takes its room until it is cleaned.
             if self.files.cut(&segment_name(number), length).is_err() {
-                if let Some(segment) = self.segments.get_mut(&number) {
-                    segment.length += bytes.len() as u64;
-                }
+                self.accounts.grow(number, bytes.len() as u64);
             }
             self.current = None;
             return Err(error);
         }
-        if let Some(segment) = self.segments.get_mut(&number) {
-            segment.length += bytes.len() as u64;
-        }
+        self.accounts.grow(number, bytes.len() as u64);
+        self.work.written += bytes.len() as u64;
         Ok(())
     }
 
@@ -528,7 +438,7 @@
         self.current = None;
         let mut file = self.files.create(&segment_name(number))?;
         // From here on it takes room, whatever comes of it.
-        self.segments.insert(number, Segment { length: HEADER as u64, keys: BTreeSet::new() });
+        self.accounts.set_length(number, HEADER as u64);
         file.append(&frame::encode_header(&self.config.owner, number, self.next))?;
         if self.config.durable {
             file.sync()?;
@@ -538,30 +448,3 @@
         Ok(())
     }
 }
-
-/// The manifest, if it is there and can be read.
-fn read_manifest(
-    files: &impl Files,
-    names: &[String],
-    config: &Config,
-    found: &mut Found,
-) -> Result<Option<Manifest>, OpenError> {
-    if !names.iter().any(|n| n == MANIFEST) {
-        if names.iter().any(|n| segment_number(n).is_some()) {
-            found.damage.push(Damage::Manifest);
-        }
-        return Ok(None);
-    }
-    let Ok(manifest) = serde_json::from_slice::<Manifest>(&files.read(MANIFEST)?) else {
-        found.damage.push(Damage::Manifest);
-        return Ok(None);
-    };
-    let file = MANIFEST.to_string();
-    if manifest.format != u64::from(VERSION) {
-        return Err(OpenError::Version { file, found: manifest.format });
-    }
-    if manifest.owner != config.owner {
-        return Err(OpenError::Foreign { file, found: manifest.owner, own: config.owner.clone() });
-    }
-    Ok(Some(manifest))
-}
--- a/crates/store/src/sim.rs
+++ b/crates/store/src/sim.rs
@@ -299,4 +299,8 @@
         }
         done.map_err(error)
     }
+
+    fn another(&self) -> io::Result<SimFile> {
+        Ok(SimFile { state: self.state.clone(), inode: self.inode })
+    }
 }
