Put the sender on the store: three ways to sync, damage survived, the old file taken over

Tried on it before: 300 messages taken on, SIGKILL, one bit flipped at a tenth of the file: 276 never ended, and the log called it a torn tail. A sender started on a copy of another's folder took up the other's messages. After a write that failed a delivered message's end was dropped, and so was the claim's release.

`store.sync` says none (default, as before), group or interval; a sync runs on another thread, and answers, calls and notices wait for it together. What has happened holds at once and is written as soon as that succeeds; unwritable is unhealthy until a probe four times a second succeeds. Another sender's folder and a later format are refused before anything changes. The old file is taken over once, told before it starts, and senders of before refuse the new folder instead of forgetting it. On the proving ground a folder that is another's must be refused, and experiments choose the sync.

Measured: the same 300 messages and bit: one lost, told as DAMAGED and set aside (tests/recovery.rs). Folders of both versions, and each stage of a change that was cut short, are taken up. Restart storms of 4 senders with folders kept, emptied and swapped keep all rules with none and with group.

A play now and then ended with "address in use" where six plays drew addresses at once: an address that was given is not given again, and listening is tried again for some milliseconds.

--- a/crates/range/src/addresses.rs
+++ b/crates/range/src/addresses.rs
@@ -1,7 +1,9 @@
 //! Loopback addresses that nobody else is given, also while nobody listens there.
+use std::collections::BTreeSet;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener as AsyncListener, TcpSocket, TcpStream};
 use tokio::time::sleep;
@@ -15,13 +17,16 @@
 /// deals out on 127.0.0.1 don't clash with it while it is shut.
 pub fn free() -> io::Result<SocketAddr> {
     static NEXT: AtomicU32 = AtomicU32::new(0);
+    // Once the hosts have come round again, a port that was dealt out may not be listened at yet.
+    static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
     let process = std::process::id().to_be_bytes();
     let mut failed = None;
     for _ in 0..TRIES {
         let number = (NEXT.fetch_add(1, Ordering::Relaxed) % 250) as u8 + 1;
         let host = Ipv4Addr::new(127, 64 | (process[2] & 0x3f), process[3], number);
         match TcpListener::bind((host, 0)).and_then(|l| l.local_addr()) {
-            Ok(at) => return Ok(at),
+            Ok(at) if GIVEN.lock().unwrap_or_else(PoisonError::into_inner).insert(at) => return Ok(at),
+            Ok(_) => {}
             Err(error) => failed = Some(error),
         }
     }
@@ -31,10 +36,24 @@
 /// Listens at an address that may just have been given up by an earlier listener.
 pub fn listen(at: SocketAddr) -> io::Result<AsyncListener> {
     debug_assert!(matches!(at.ip(), IpAddr::V4(ip) if ip.is_loopback()));
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(at)?;
-    socket.listen(BACKLOG.into())
+    let open = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(at)?;
+        socket.listen(BACKLOG.into())
+    };
+    // Drawing an address listens at it for a moment, which may be one that was given before.
+    let mut tries = 0;
+    loop {
+        match open() {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && tries < TRIES => {
+                tries += 1;
+                std::thread::sleep(Duration::from_millis(1));
+            }
+            Err(error) => return Err(io::Error::new(error.kind(), format!("{at}: {error}"))),
+            Ok(listener) => return Ok(listener),
+        }
+    }
 }
 
 /// Connections with which a listener's queue of none is kept full: one that it holds, and two that ask for the next
--- a/crates/range/src/judge/rules.rs
+++ b/crates/range/src/judge/rules.rs
@@ -282,6 +282,7 @@
         case.lives.iter().enumerate().flat_map(|(sender, lives)| lives.iter().map(move |l| (sender, l)));
     let ends = lives.filter_map(|(sender, (at, life))| match life {
         Life::Exited { asked: false } => Some((*at, format!("sender {sender} ended unasked"))),
+        Life::TookAnothers => Some((*at, format!("sender {sender} took up another's folder"))),
         Life::Late => Some((*at, format!("sender {sender} was not ready in time"))),
         _ => None,
     });
--- a/crates/range/src/ledger.rs
+++ b/crates/range/src/ledger.rs
@@ -79,6 +79,10 @@
     },
     /// The folder that lasts was emptied.
     Emptied,
+    /// It found another's folder in place of its own, and ended for it.
+    Refused,
+    /// It went on with another's folder.
+    TookAnothers,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/range/src/process.rs
+++ b/crates/range/src/process.rs
@@ -4,7 +4,7 @@
 use crate::endpoints::Ground;
 use crate::ledger::{Life, What};
 use crate::plan::Plan;
-use crate::spec::Folder;
+use crate::spec::{Folder, Sync};
 use rustix::process::{kill_process_group, set_parent_process_death_signal, Pid, Signal};
 use serde_json::{json, Value};
 use std::io;
@@ -87,13 +87,20 @@
         let folder = work.join(&drawn.name);
         let state = folder.join("state");
         std::fs::create_dir_all(&state).map_err(|error| ProcessError::File { path: state, error })?;
-        let config = json!({
+        let mut config = json!({
             "name": drawn.name, "listen": address.to_string(), "discovery": discovery.to_string(), "seed": "",
             "limits": {"cores": 1.0, "memory_mb": program_limits.memory_mb, "sockets": program_limits.sockets,
                 "disk_mb": program_limits.disk_mb},
             "known": {"generation": 0, "reset": true, "instances": []},
             "settings": plan.settings(number as usize),
         });
+        match program_limits.sync {
+            Sync::None => {}
+            Sync::Group => config["store"] = json!({"sync": "group"}),
+            Sync::Interval => {
+                config["store"] = json!({"sync": "interval", "interval_ms": program_limits.interval_ms})
+            }
+        }
         Ok(Sender {
             number,
             program: program.to_path_buf(),
@@ -157,25 +164,51 @@
             return Err(ProcessError::Lingers { sender: self.number });
         }
         self.wanted = true;
-        let state = self.state();
-        if folder != Folder::Keep {
-            let changed = || match folder {
-                Folder::Another => copy_files(other, &state),
-                _ => empty(&state),
-            };
-            changed().map_err(|error| ProcessError::File { path: state.clone(), error })?;
-            self.note(Life::Emptied);
-        }
         self.config["known"] = known;
         self.config["seed"] = json!(format!("{seed:016x}"));
         let config = self.write_config()?;
+        match folder {
+            Folder::Keep => {}
+            Folder::Empty => {
+                let state = self.state();
+                empty(&state).map_err(|error| ProcessError::File { path: state, error })?;
+                self.note(Life::Emptied);
+            }
+            Folder::Another => self.mistake(other, &config).await?,
+        }
+        self.spawn(&config, false)
+    }
+
+    /// A process finds a copy of another's folder in place of its own, and has to refuse it. Then it is given its own
+    /// again, as operators would do.
+    async fn mistake(&mut self, other: &Path, config: &Path) -> Result<(), ProcessError> {
+        let (state, own) = (self.state(), self.folder.join("state.own"));
+        let failed = |error| ProcessError::File { path: state.clone(), error };
+        std::fs::rename(&state, &own).map_err(failed)?;
+        std::fs::create_dir(&state).and_then(|()| copy_files(other, &state)).map_err(failed)?;
+        self.spawn(config, true)?;
+        let refuses =
+            timeout(self.ready_within, self.phase().wait_for(|p| *p != Phase::Starting)).await.is_ok();
+        if refuses && *self.phase().borrow() == Phase::Down {
+            self.note(Life::Refused);
+        } else {
+            self.note(Life::TookAnothers);
+            self.strike(Blow::Kill);
+            self.wanted = true;
+            let _ = timeout(ENDS_WITHIN, self.phase().wait_for(|p| *p == Phase::Down)).await;
+        }
+        std::fs::remove_dir_all(&state).and_then(|()| std::fs::rename(&own, &state)).map_err(failed)
+    }
+
+    /// Starts a process; `ends` where it is expected to end by itself.
+    fn spawn(&mut self, config: &Path, ends: bool) -> Result<(), ProcessError> {
         let log = self.folder.join("log");
         let mut command = Command::new(&self.program);
         command
             .env("EDGE_NAME", self.config["name"].as_str().unwrap_or_default())
             .env("EDGE_LISTEN", self.address.to_string())
             .env("EDGE_DISCOVERY", self.config["discovery"].as_str().unwrap_or_default())
-            .env("EDGE_STATE", &state)
+            .env("EDGE_STATE", self.state())
             .env("EDGE_CONFIG", config)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
@@ -195,7 +228,7 @@
         self.phase.send_replace(Phase::Starting);
         let (blows, to_do) = mpsc::unbounded_channel();
         self.blows = Some(blows);
-        tokio::spawn(watch_over(child, to_do, self.phase.clone(), self.ground.clone(), self.number));
+        tokio::spawn(watch_over(child, to_do, self.phase.clone(), self.ground.clone(), self.number, ends));
         let until = Instant::now() + self.ready_within;
         tokio::spawn(until_ready(self.address, until, self.phase.clone(), self.ground.clone(), self.number));
         Ok(())
@@ -237,8 +270,16 @@
     empty(to)?;
     for entry in std::fs::read_dir(from)? {
         let entry = entry?;
-        if entry.file_type()?.is_file() {
-            std::fs::copy(entry.path(), to.join(entry.file_name()))?;
+        let (kind, to) = (entry.file_type()?, to.join(entry.file_name()));
+        if kind.is_dir() {
+            std::fs::create_dir(&to)?;
+            copy_files(&entry.path(), &to)?;
+        } else if kind.is_file() {
+            match std::fs::copy(entry.path(), to) {
+                // The other one's process goes on meanwhile.
+                Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error),
+                _ => {}
+            }
         }
     }
     Ok(())
@@ -271,9 +312,10 @@
     phase: Arc<watch::Sender<Phase>>,
     ground: Ground,
     sender: u32,
+    ends: bool,
 ) {
     let note = |life| ground.ledger.note(What::Process { sender, life });
-    let mut asked = false;
+    let mut asked = ends;
     let mut paused = false;
     loop {
         let blow = tokio::select! {
--- a/crates/range/src/sim/mod.rs
+++ b/crates/range/src/sim/mod.rs
@@ -23,7 +23,7 @@
 }
 
 /// Plays a plan in simulated time. Strangers are left out, as the module never hears of them, and so are the slips of
-/// a folder that is another sender's: it counts as an empty one.
+/// a folder that is another sender's: it is refused, and costs no time here.
 pub fn simulate(plan: &Plan) -> Result<Simulated, SimError> {
     let facts = world::World::new(plan)?.run();
     Ok(Simulated { verdict: play::verdict(plan, &facts), facts })
--- a/crates/range/src/spec.rs
+++ b/crates/range/src/spec.rs
@@ -162,11 +162,32 @@
     pub disk_mb: f64,
     /// A process that is not ready after so many seconds never is (DEPLOY, Limits: clients come then all the same).
     pub ready_s: f64,
+    /// When what senders write down has to be on disk (`store.sync` in their configuration).
+    pub sync: Sync,
+    /// The span of `interval`, in milliseconds.
+    pub interval_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Sync {
+    #[default]
+    None,
+    Group,
+    Interval,
 }
 
 impl Default for Program {
     fn default() -> Program {
-        Program { path: None, memory_mb: 192, sockets: 1024, disk_mb: 3.0, ready_s: 30.0 }
+        Program {
+            path: None,
+            memory_mb: 192,
+            sockets: 1024,
+            disk_mb: 3.0,
+            ready_s: 30.0,
+            sync: Sync::None,
+            interval_ms: 20,
+        }
     }
 }
 
@@ -288,7 +309,7 @@
     Keep,
     /// The machine was lost, and with it what the sender owed.
     Empty,
-    /// By mistake it is a copy of the next sender's, as that stands then.
+    /// By mistake it is a copy of the next sender's, as that stands then; once that was refused it is its own again.
     Another,
 }
 
@@ -397,6 +418,7 @@
         within("clients.honour", c.honour, 0.0, 1.0)?;
         within("clients.strangers", c.strangers, 0.0, 1_000.0)?;
         within("program.ready_s", self.program.ready_s, 0.1, 600.0)?;
+        within("program.interval_ms", self.program.interval_ms as f64, 1.0, 60e3)?;
         within("program.disk_mb", self.program.disk_mb, 0.01, 1e6)?;
         range("traffic.clump_s", t.clump_s, 0.1)?;
         range("platform.notice_s", p.notice_s, 0.0)?;
--- a/crates/range/tests/play.rs
+++ b/crates/range/tests/play.rs
@@ -94,3 +94,30 @@
     };
     assert_eq!((started(0), started(1)), (2, 2));
 }
+
+/// Most are killed at once, one loses its folder and one finds another's.
+fn storm(sync: &str) {
+    let text = format!(
+        "seconds = 6\nsenders = 4\n[program]\nsync = '{sync}'\n\
+        [[event]]\nwhat = 'kill'\nat = 1.5\nfor = 0.3\nwhich = [0, 1, 2]\n\
+        [[event]]\nwhat = 'kill'\nat = 3\nfor = 0.3\nwhich = [0]\nfolder = 'empty'\n\
+        [[event]]\nwhat = 'kill'\nat = 3\nfor = 0.3\nwhich = [1]\nfolder = 'another'\n"
+    );
+    let played = played_by(&sender(), &text, 3);
+    assert_eq!(broken(&played), BTreeSet::new(), "{:#?}", played.verdict.breaks);
+    let lives = |of: Life| {
+        let is = |w: &What| matches!(w, What::Process { life, .. } if *life == of);
+        played.facts.iter().filter(|f| is(&f.what)).count()
+    };
+    assert_eq!((lives(Life::Refused), lives(Life::Emptied), lives(Life::Ready)), (1, 1, 9));
+}
+
+#[test]
+fn a_restart_storm_with_folders_kept_emptied_and_swapped_loses_nothing() {
+    storm("none");
+}
+
+#[test]
+fn a_restart_storm_loses_nothing_where_answers_wait_for_syncs() {
+    storm("group");
+}
--- a/crates/store/src/log.rs
+++ b/crates/store/src/log.rs
@@ -126,8 +126,7 @@
         if survey.manifest_new {
             files.remove(MANIFEST_NEW)?;
         }
-        let segment_size =
-            (config.limit / PARTS / BLOCK * BLOCK).max((HEADER + FRAME + config.largest.min(PAYLOAD)) as u64);
+        let segment_size = (config.limit / PARTS / BLOCK * BLOCK).max(4 * BLOCK);
         let mut log = Log {
             files,
             config,
@@ -294,7 +293,7 @@
         let last = self.next_segment;
         loop {
             self.release()?;
-            let Some((number, keys)) = self.accounts.oldest().filter(|(n, _)| *n < last) else { break };
+            let Some((number, keys)) = self.accounts.oldest() else { break };
             let out: u64 = keys.iter().filter_map(|k| self.accounts.live.get(k)).map(|l| l.bytes).sum();
             let around = self.around(need);
             let reserve = out.max(self.segment_size) + self.segment_size;
@@ -302,7 +301,7 @@
                 return Ok(());
             }
             let is_current = self.current.as_ref().is_some_and(|(n, _)| *n == number);
-            if is_current || self.used() + out + around > self.config.limit {
+            if is_current || number >= last || self.used() + out + around > self.config.limit {
                 break;
             }
             self.clean(&keys, images)?;
@@ -367,7 +366,11 @@
         let mut rest = entries;
         while !rest.is_empty() {
             let length = self.current.as_ref().map(|(n, _)| self.accounts.length(*n));
-            let room = length.map_or(0, |l| self.segment_size.saturating_sub(l));
+            let mut room = length.map_or(0, |l| self.segment_size.saturating_sub(l));
+            if length == Some(HEADER as u64) {
+                // One that is longer than a segment has one of its own.
+                room = room.max((FRAME + rest[0].payload.len()) as u64);
+            }
             let mut buffer = Vec::new();
             let mut records = Vec::new();
             for entry in rest {
--- a/src/bin/nickelshed/client.rs
+++ b/src/bin/nickelshed/client.rs
@@ -1,6 +1,5 @@
 //! Calls to endpoints: the connection pool, what is checked as a call is written, and how it ended.
 use crate::core::Input;
-use crate::journal::Taken;
 use base64::Engine;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -10,6 +9,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use leadfold::api::{AttemptEnd, DestId, EndpointId, Ns, Outcome, Report, MS};
+use leadfold::records::Taken;
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
--- a/src/bin/nickelshed/config.rs
+++ b/src/bin/nickelshed/config.rs
@@ -6,6 +6,7 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 #[derive(Deserialize, Clone)]
 pub struct Limits {
@@ -13,8 +14,50 @@
     pub disk_mb: f64,
 }
 
+/// When what is written down has to be on disk.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Sync {
+    /// Never: it outlasts the process all the same (DEPLOY, Limits).
+    #[default]
+    None,
+    /// Before what follows from it: answers, calls and notices wait for one sync together.
+    Group,
+    /// Each such span; what came since may go with a loss of power.
+    Interval(Duration),
+}
+
+/// `store` in the file.
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields)]
+struct Store {
+    sync: Option<String>,
+    interval_ms: Option<u64>,
+}
+
+impl Store {
+    fn sync(&self) -> Result<Sync, String> {
+        match (self.sync.as_deref(), self.interval_ms) {
+            (None | Some("none"), None) => Ok(Sync::None),
+            (Some("group"), None) => Ok(Sync::Group),
+            (Some("interval"), Some(ms)) if (1..=60_000).contains(&ms) => {
+                Ok(Sync::Interval(Duration::from_millis(ms)))
+            }
+            (Some("interval"), _) => {
+                Err("store.interval_ms: has to be from 1 to 60000 with sync = interval".into())
+            }
+            (Some("none" | "group") | None, Some(_)) => {
+                Err("store.interval_ms: goes with sync = interval only".into())
+            }
+            (Some(other), _) => Err(format!("store.sync: {other:?} is none of none, group, interval")),
+        }
+    }
+}
+
 #[derive(Deserialize)]
 struct File {
+    name: Option<String>,
+    #[serde(default)]
+    store: Store,
     listen: Option<String>,
     discovery: Option<String>,
     control: Option<String>,
@@ -27,6 +70,9 @@
 
 #[derive(Clone)]
 pub struct Config {
+    /// The sender's name, at most as long as the journal takes it.
+    pub name: String,
+    pub sync: Sync,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     /// The second address, where there is one.
@@ -66,7 +112,10 @@
     let (path, file) = file()?;
     let (settings, around) = settings::read(&file.settings).map_err(|e| format!("{path}: settings: {e}"))?;
     let control = var("EDGE_CONTROL").or(file.control);
+    let sync = file.store.sync().map_err(|e| format!("{path}: {e}"))?;
     Ok(Config {
+        name: short(var("EDGE_NAME").or(file.name).unwrap_or_default()),
+        sync,
         listen: address("EDGE_LISTEN", var("EDGE_LISTEN").or(file.listen))?,
         discovery: address("EDGE_DISCOVERY", file.discovery.or_else(|| var("EDGE_DISCOVERY")))?,
         control: control.map(|at| address("EDGE_CONTROL", Some(at))).transpose()?,
@@ -80,6 +129,17 @@
     })
 }
 
+/// A name that is longer than an owner's may be is told by its beginning and a checksum.
+fn short(name: String) -> String {
+    const MOST: usize = store::frame::OWNER;
+    if name.len() <= MOST {
+        return name;
+    }
+    let beginning: String =
+        name.char_indices().take_while(|(at, c)| at + c.len_utf8() <= MOST - 9).map(|(_, c)| c).collect();
+    format!("{beginning}~{:08x}", crc32fast::hash(name.as_bytes()))
+}
+
 /// The seed is a text in hex; any other form still gives a number of its own.
 fn seed(value: &Value) -> u64 {
     let text = value.as_str().map_or_else(|| value.to_string(), str::to_string);
--- a/src/bin/nickelshed/core.rs
+++ b/src/bin/nickelshed/core.rs
@@ -2,16 +2,19 @@
 use crate::client::{self, Cancel, Client, Known, Member};
 use crate::config::Config;
 use crate::discovery::List;
-use crate::journal::{wall_ms, Begun, Ending, Journal, Record, Taken};
+use crate::journal::Journal;
 use crate::maint::Maint;
 use crate::notices::Notice;
 use leadfold::api::*;
+use leadfold::records::{wall_ms, Begun, Ending, Record, Taken};
 use leadfold::rules::Sender;
 use leadfold::settings::Around;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use store::disk::Disk;
+use store::files::Files;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep_until, timeout, Instant};
 
@@ -132,11 +135,11 @@
     claimed: u64,
 }
 
-pub struct Core {
+pub struct Core<F: Files = Disk> {
     sender: Sender,
     settings: Settings,
     around: Around,
-    journal: Journal,
+    journal: Journal<F>,
     maint: Maint,
     client: Rc<Client>,
     inbox: mpsc::Receiver<Input>,
@@ -160,7 +163,8 @@
     timer: Option<Ns>,
     next_id: u64,
     wind: Option<Instant>,
-    write_failed: bool,
+    /// Since when nothing could be written, or when that was last tried.
+    write_failed: Option<Instant>,
     handing_over: Option<oneshot::Sender<Option<State>>>,
 }
 
@@ -170,18 +174,23 @@
 const ROUND: usize = 512;
 /// Rounds at most before a handover: one leaves something to do where the journal can't be written.
 const SETTLE: usize = 100;
+/// How often writing is tried again where it has failed and nothing comes that would have to be written.
+const PROBE: Duration = Duration::from_millis(250);
 const FIRST_LIST: Duration = Duration::from_millis(300);
 
-impl Core {
+impl<F: Files> Core<F>
+where
+    F::File: Send + 'static,
+{
     pub fn new(
         config: Config,
-        journal: Journal,
+        journal: Journal<F>,
         maint: Maint,
         client: Rc<Client>,
         inbox: mpsc::Receiver<Input>,
         asks: mpsc::Receiver<Input>,
         notices: mpsc::UnboundedSender<Notice>,
-    ) -> Core {
+    ) -> Core<F> {
         Core {
             sender: Sender::new(config.settings.clone(), config.seed),
             settings: config.settings,
@@ -205,7 +214,7 @@
             next: Vec::new(),
             timer: None,
             wind: None,
-            write_failed: false,
+            write_failed: None,
             handing_over: None,
         }
     }
@@ -300,33 +309,38 @@
         if !self.journal.live().is_empty() {
             tracing::info!(messages = self.held.len(), notices = lost.len(), "resumed from the journal");
         }
-        let mut records = Vec::new();
-        for (id, taken, ending, decide) in lost {
-            if decide {
-                records.push(Record::Decided(id, ending));
-            }
-            self.notify(&taken, ending);
+        let decided = lost.iter().filter(|(.., decide)| *decide);
+        let records: Vec<Record> = decided.map(|(id, _, ending, _)| Record::Decided(*id, *ending)).collect();
+        if self.keep(&records).await == Kept::Unwritten {
+            self.owe(records);
         }
-        self.write(&records);
-        self.round(Vec::new(), events);
+        lost.iter().for_each(|(_, taken, ending, _)| self.notify(taken, *ending));
+        self.round(Vec::new(), events).await;
     }
 
     pub async fn run(mut self) -> Stop {
         let mut inputs = Vec::new();
         loop {
             if self.finished() {
+                self.journal.close().await;
                 return Stop::Finished;
             }
             if let Some(reply) = self.handing_over.take() {
-                if self.wind.is_some() || !self.settle() {
+                if self.wind.is_some() || !self.settle().await {
                     let _ = reply.send(None);
                 } else {
+                    self.journal.close().await;
                     return self.hand_over(reply);
                 }
             }
             let wake = self.timer.map(|at| self.instant(at));
             let wake = if self.next.is_empty() { wake } else { Some(Instant::now()) };
-            let wake = [wake, self.wind].into_iter().flatten().filter(|&w| self.started_before(w)).min();
+            let probe = self.write_failed.map(|at| at + PROBE);
+            let wake = [wake, self.wind, self.journal.sync_due(), probe]
+                .into_iter()
+                .flatten()
+                .filter(|&w| self.started_before(w))
+                .min();
             tokio::select! {
                 biased;
                 Some(ask) = self.asks.recv() => inputs.push(ask),
@@ -348,12 +362,28 @@
                 self.timer = None;
                 events.push(Event::Timer);
             }
-            self.round(std::mem::take(&mut inputs), events);
+            self.round(std::mem::take(&mut inputs), events).await;
+            self.look_after_journal().await;
+        }
+    }
+
+    /// Syncs by the clock, and sees whether what has failed succeeds again.
+    async fn look_after_journal(&mut self) {
+        let now = Instant::now();
+        if self.write_failed.is_some_and(|at| now >= at + PROBE) {
+            let probed = self.journal.probe();
+            let result =
+                if probed.is_ok() && self.journal.in_groups() { self.journal.sync().await } else { probed };
+            self.wrote(&result);
+        }
+        if self.journal.sync_due().is_some_and(|at| now >= at) {
+            let result = self.journal.sync().await;
+            self.wrote(&result);
         }
     }
 
     /// Ends what has come and what the last rounds left to do. False if it does not come to an end.
-    fn settle(&mut self) -> bool {
+    async fn settle(&mut self) -> bool {
         for _ in 0..SETTLE {
             let mut inputs = Vec::new();
             while let Ok(input) = self.inbox.try_recv() {
@@ -363,7 +393,7 @@
                 return true;
             }
             let events = std::mem::take(&mut self.next);
-            self.round(inputs, events);
+            self.round(inputs, events).await;
         }
         false
     }
@@ -474,7 +504,7 @@
     }
 
     /// One round: all that has come, the module's answer to it, one write, then the actions.
-    fn round(&mut self, inputs: Vec<Input>, events: Vec<Event>) {
+    async fn round(&mut self, inputs: Vec<Input>, events: Vec<Event>) {
         let at = Instant::now();
         let (now, wall) = (self.clock(at), wall_ms());
         let mut records = Vec::new();
@@ -506,7 +536,8 @@
                 Input::Wind(until) => self.wind = Some(until),
                 Input::HandOver(reply) => self.handing_over = Some(reply),
                 Input::Health(reply) => {
-                    let ready = !self.write_failed && self.wind.is_none() && self.client.has_usable();
+                    let ready =
+                        self.write_failed.is_none() && self.wind.is_none() && self.client.has_usable();
                     let _ = reply.send(ready);
                 }
                 Input::Maint { name, out, reply } => {
@@ -575,20 +606,35 @@
             self.forget(o.taken.id);
             o.answer(reply);
         }
+        let mut decided = Vec::new();
         for &(id, ending) in &endings {
             if let Some(held) = self.forget(id) {
                 records.push(Record::Decided(id, ending));
-                self.notify(&held.taken, ending);
+                decided.push((held.taken, ending));
             }
         }
         let mut all: Vec<Record> = offered.values().map(|o| Record::Taken(o.taken.clone())).collect();
         all.append(&mut records);
         let settled = all.len() - offered.len();
         all.append(&mut begun);
-        if !self.write(&all) {
-            // Without its record nothing new is begun or taken on; what ended is tried by itself.
-            let ended = all.split_off(offered.len());
-            self.write(&ended[..settled]);
+        let kept = self.keep(&all).await;
+        match kept {
+            Kept::Yes => {}
+            // What has ended has, whether that can be written or not.
+            Kept::Unwritten => self.owe(all.drain(offered.len()..).take(settled).collect()),
+            // It may be on disk or not: what is not done now is taken back.
+            Kept::Unsynced => {
+                let ends = offered.keys().map(|id| Record::Ended(*id));
+                let never = all[offered.len() + settled..].iter().filter_map(|r| match r {
+                    Record::Begun(id, begun) => Some(Record::NeverRan(*id, begun.number)),
+                    _ => None,
+                });
+                self.owe(ends.chain(never).collect());
+            }
+        }
+        decided.iter().for_each(|(taken, ending)| self.notify(taken, *ending));
+        if kept != Kept::Yes {
+            // Without its record nothing new is begun or taken on.
             for (id, o) in offered {
                 self.forget(id);
                 self.next.push(Event::Expired { id });
@@ -607,7 +653,7 @@
                 // The client has left without its answer: it may hand the message in again elsewhere.
                 self.next.push(Event::Expired { id });
                 self.forget(id);
-                self.write(&[Record::Ended(id)]);
+                self.owe(vec![Record::Ended(id)]);
             }
         }
         for (endpoint, members) in calls {
@@ -682,18 +728,60 @@
         Some(held)
     }
 
-    fn write(&mut self, records: &[Record]) -> bool {
-        let result = self.journal.write(records);
-        if let Err(error) = &result {
-            if !self.write_failed {
-                tracing::error!(%error, "cannot write the journal; nothing new is taken on");
+    /// Writes records down, and syncs them where that goes before all that follows from them.
+    async fn keep(&mut self, records: &[Record]) -> Kept {
+        if records.is_empty() {
+            return Kept::Yes;
+        }
+        let written = self.journal.write(records);
+        self.wrote(&written);
+        if written.is_err() {
+            return Kept::Unwritten;
+        }
+        let follows = |r: &Record| matches!(r, Record::Taken(_) | Record::Begun(..) | Record::Decided(..));
+        if self.journal.in_groups() && records.iter().any(follows) {
+            let synced = self.journal.sync().await;
+            self.wrote(&synced);
+            if synced.is_err() {
+                return Kept::Unsynced;
+            }
+        }
+        Kept::Yes
+    }
+
+    fn owe(&mut self, records: Vec<Record>) {
+        if !records.is_empty() {
+            let written = self.journal.owe(records);
+            self.wrote(&written);
+        }
+    }
+
+    fn wrote(&mut self, result: &std::io::Result<()>) {
+        match result {
+            Err(error) => {
+                if self.write_failed.replace(Instant::now()).is_none() {
+                    tracing::error!(%error, "cannot write the journal; nothing new is taken on");
+                }
+            }
+            Ok(()) => {
+                if self.write_failed.take().is_some() {
+                    tracing::info!("the journal can be written again");
+                }
             }
         }
-        self.write_failed = result.is_err();
-        result.is_ok()
     }
 }
 
+/// Whether records hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kept {
+    Yes,
+    /// Nothing of them does.
+    Unwritten,
+    /// They are written, and may be lost with the power.
+    Unsynced,
+}
+
 fn wall_ns() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as u64)
 }
@@ -701,3 +789,6 @@
 fn position(names: &[String], name: &str) -> Option<usize> {
     names.iter().position(|n| n == name)
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/bin/nickelshed/discovery.rs
+++ b/src/bin/nickelshed/discovery.rs
@@ -1,7 +1,7 @@
 //! The list of endpoints: the whole list once, then a watch that goes out again at once.
 use crate::client::{self, Connection};
 use crate::core::Input;
-use crate::journal::MAX_NAME;
+use leadfold::records::MAX_NAME;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
--- a/src/bin/nickelshed/handover.rs
+++ b/src/bin/nickelshed/handover.rs
@@ -8,17 +8,18 @@
 //! had out is a broken connection to the new one.
 use crate::client::end_of;
 use crate::core::{Change, Input, Out, Reply, Rest, State};
-use crate::journal::Taken;
+use crate::owner::Owner;
 use crate::server::{Moved, Server};
 use bytes::Bytes;
 use leadfold::api::{AttemptEnd, Outcome};
+use leadfold::records::Taken;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
-use std::fs::{File, TryLockError};
+use std::fs::File;
 use std::future::Future;
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
@@ -44,23 +45,6 @@
 /// A frame's length and whether a descriptor comes with it.
 const HEAD: usize = 5;
 
-/// The right to the journal; it ends with the process at the latest.
-pub struct Owner {
-    _lock: File,
-}
-
-impl Owner {
-    /// None while another process has it.
-    fn claim(folder: &Path) -> io::Result<Option<Owner>> {
-        let file = File::options().create(true).truncate(false).write(true).open(folder.join("owner"))?;
-        match file.try_lock() {
-            Ok(()) => Ok(Some(Owner { _lock: file })),
-            Err(TryLockError::WouldBlock) => Ok(None),
-            Err(TryLockError::Error(e)) => Err(e),
-        }
-    }
-}
-
 #[derive(Serialize, Deserialize)]
 enum Frame {
     /// New to old: hand over.
--- a/src/bin/nickelshed/main.rs
+++ b/src/bin/nickelshed/main.rs
@@ -8,6 +8,7 @@
 mod journal;
 mod maint;
 mod notices;
+mod owner;
 mod server;
 
 use leadfold::api::MS;
@@ -123,9 +124,15 @@
         () = signals.told() => return Ok(End::Told),
     };
     let (owner, before) = claimed.map_err(|e| format!("the right to {}: {e}", folder.display()))?;
-    let journal =
-        journal::Journal::open(owner, &config.state, config.limits.disk_mb, config.settings.max_attempts)
-            .map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
+    let how = journal::How {
+        folder: &config.state,
+        name: &config.name,
+        disk_mb: config.limits.disk_mb,
+        max_attempts: config.settings.max_attempts,
+        sync: config.sync,
+    };
+    let journal = journal::Journal::open(owner, &how)
+        .map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
     let maint = maint::Maint::open(&config.state, config.settings.cold / MS)
         .map_err(|e| format!("endpoints taken out in {}: {e}", config.state.display()))?;
     let (core_in, inbox) = mpsc::channel(INBOX);
--- a/src/bin/nickelshed/server.rs
+++ b/src/bin/nickelshed/server.rs
@@ -1,7 +1,6 @@
 //! Clients in: takes requests, checks their form, and hands them to the core.
 use crate::client::MAX_BODY;
 use crate::core::{Input, Reply};
-use crate::journal::Taken;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -10,6 +9,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use leadfold::api::Effect;
+use leadfold::records::{wall_ms, Taken};
 use leadfold::settings::Around;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -356,7 +356,7 @@
             Err(why) => return plain(StatusCode::BAD_REQUEST, why),
         };
         let end = Instant::now() + left;
-        taken.end = crate::journal::wall_ms() + left.as_millis() as i64;
+        taken.end = wall_ms() + left.as_millis() as i64;
         taken.body = match timeout_at(body_by, Limited::new(body, MAX_BODY).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) if e.is::<LengthLimitError>() => {
--- /dev/null
+++ b/tests/recovery.rs
@@ -0,0 +1,224 @@
+//! What a sender owes outlasts its process, damage of its files, and a change of their format.
+mod peers;
+use peers::*;
+use serde_json::json;
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::{Path, PathBuf};
+
+fn files(folder: &Path) -> BTreeMap<PathBuf, Vec<u8>> {
+    let mut all = BTreeMap::new();
+    for entry in std::fs::read_dir(folder).unwrap().flatten() {
+        match entry.file_type().unwrap() {
+            t if t.is_dir() => all.append(&mut files(&entry.path())),
+            t if t.is_file() => _ = all.insert(entry.path(), std::fs::read(entry.path()).unwrap()),
+            _ => {}
+        }
+    }
+    all
+}
+
+fn copy(from: &Path, to: &Path) {
+    std::fs::create_dir_all(to).unwrap();
+    for entry in std::fs::read_dir(from).unwrap().flatten() {
+        let to = to.join(entry.file_name());
+        match entry.file_type().unwrap() {
+            t if t.is_dir() => copy(&entry.path(), &to),
+            t if t.is_file() => _ = std::fs::copy(entry.path(), to).unwrap(),
+            _ => {}
+        }
+    }
+}
+
+/// Takes on so many messages, which wait for a list that names their destination.
+fn taken_on(node: &Node, count: usize) -> BTreeSet<String> {
+    let ids: BTreeSet<String> = (0..count).map(|i| format!("m{i}")).collect();
+    for id in &ids {
+        assert_eq!(node.hand_in("order", id, 7, 16_000, &[7; 300]), 202);
+    }
+    ids
+}
+
+#[test]
+fn a_bit_that_flips_costs_one_message_and_is_told_and_set_aside() {
+    let endpoint = Peer::new(|_| ok());
+    let discovery = Discovery::new(json!([]));
+    let mut node = Node::with(&discovery, json!([]), |c| c["settings"]["Limits"]["MaxOpen"] = json!(400));
+    let ids = taken_on(&node, 300);
+    node.kill();
+    let segments = node.segments();
+    let path = &segments[0];
+    let mut bytes = std::fs::read(path).unwrap();
+    // A tenth into the first segment, which is far from the end of all.
+    let at = bytes.len() / 10;
+    bytes[at] ^= 0x10;
+    std::fs::write(path, bytes).unwrap();
+    discovery.set(json!([ready("e-1", endpoint.address, 7)]));
+    node.restart();
+    let delivered = || {
+        let seen = endpoint.seen();
+        seen.iter().map(|r| r.id().to_string()).collect::<BTreeSet<_>>()
+    };
+    node.until("all but one are delivered", || delivered().len() >= ids.len() - 1);
+    assert!(delivered().is_subset(&ids));
+    assert_eq!(endpoint.seen().len(), ids.len() - 1, "none twice, and one is lost");
+    assert!(node.log().contains("DAMAGED"), "{}", node.log());
+    let aside = files(&node.state()).into_keys().filter(|p| p.to_string_lossy().contains("damaged-seg-"));
+    assert_eq!(aside.count(), 1);
+}
+
+#[test]
+fn another_senders_folder_and_another_format_are_refused_and_left_as_they_are() {
+    let discovery = Discovery::new(json!([]));
+    let mut node = Node::start(&discovery);
+    taken_on(&node, 3);
+    node.kill();
+    let before = files(&node.state());
+    node.config["name"] = json!("n1");
+    let (status, log) = node.start_refused();
+    assert!(!status.success());
+    assert!(log.contains(r#"belongs to "n0", and this is "n1""#), "{log}");
+    assert_eq!(files(&node.state()), before);
+    node.config["name"] = json!("n0");
+    let manifest = node.state().join("journal/manifest");
+    let text = std::fs::read_to_string(&manifest).unwrap();
+    let later = text.replacen(r#""format":1"#, r#""format":9"#, 1);
+    assert_ne!(later, text);
+    std::fs::write(&manifest, later).unwrap();
+    let before = files(&node.state());
+    let (status, log) = node.start_refused();
+    assert!(!status.success());
+    assert!(log.contains("is of format 9") && log.contains("use the program that wrote it"), "{log}");
+    assert_eq!(files(&node.state()), before);
+    // As it was it serves.
+    std::fs::write(&manifest, text).unwrap();
+    node.restart();
+}
+
+/// Folders that each version has left behind when it was killed, with messages whose time is long over.
+#[test]
+fn folders_of_every_version_are_taken_up() {
+    let samples = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/samples");
+    let (file, log) = (samples.join("0-journal-file"), samples.join("1-log"));
+    // The last three are those of a change from one to the other that was cut short.
+    for version in ["file", "log", "begun", "moved away", "not removed"] {
+        let discovery = Discovery::new(json!([]));
+        let mut node = Node::start(&discovery);
+        node.kill();
+        std::fs::remove_dir_all(node.state()).unwrap();
+        let state = node.state();
+        match version {
+            "file" => copy(&file, &state),
+            "log" => copy(&log, &state),
+            "begun" => {
+                copy(&file, &state);
+                std::fs::create_dir(state.join("journal.next")).unwrap();
+                std::fs::write(state.join("journal.next/manifest"), "{").unwrap();
+            }
+            _ => {
+                let name = if version == "not removed" { "journal" } else { "journal.next" };
+                copy(&log.join("journal"), &state.join(name));
+                std::fs::copy(file.join("journal"), state.join("journal.old")).unwrap();
+            }
+        }
+        node.restart();
+        // Two were never sent, of one the call was out; one was delivered, and is owed nothing.
+        let outcomes = || {
+            let notices = discovery.notices();
+            let pair = |n: &serde_json::Value| {
+                (n["message"].as_str().unwrap().to_string(), n["outcome"].as_str().unwrap().to_string())
+            };
+            notices.iter().map(pair).collect::<BTreeMap<_, _>>()
+        };
+        node.until("three notices", || outcomes().len() >= 3);
+        let expected = [("held-1", "handed_back"), ("held-2", "handed_back"), ("out-1", "given_up")];
+        let expected = expected.map(|(id, outcome)| (id.to_string(), outcome.to_string()));
+        assert_eq!(outcomes(), BTreeMap::from(expected), "{version}");
+        // And it goes on in its own format.
+        assert_eq!(node.hand_in("order", "later", 7, 16_000, b"x"), 202);
+        node.kill();
+        assert!(!node.segments().is_empty());
+        assert!(["journal.next", "journal.old"].iter().all(|name| !node.state().join(name).exists()));
+        node.restart();
+        assert_eq!(node.hand_in("order", "later", 7, 16_000, b"x"), 202, "held still");
+        assert_eq!(outcomes().len(), 3, "{version}: none again");
+    }
+}
+
+/// With a sync before each answer and call all works as without.
+#[test]
+fn with_syncs_in_groups_and_by_the_clock_messages_outlast_kills() {
+    for store in [json!({"sync": "group"}), json!({"sync": "interval", "interval_ms": 20})] {
+        let endpoint = Peer::new(|_| ok());
+        let discovery = Discovery::new(json!([]));
+        let mut node = Node::with(&discovery, json!([]), |c| c["store"] = store.clone());
+        let ids = taken_on(&node, 20);
+        node.kill();
+        discovery.set(json!([ready("e-1", endpoint.address, 7)]));
+        node.restart();
+        for id in &ids {
+            endpoint.wait_for(id, 1);
+        }
+        assert_eq!(node.hand_in("alert", "later", 7, 16_000, b"x"), 202);
+        endpoint.wait_for("later", 1);
+        node.terminate();
+        assert!(node.wait_exit().success());
+        node.restart();
+        assert_eq!(endpoint.seen().len(), ids.len() + 1, "none is sent again");
+    }
+}
+
+#[test]
+fn what_is_wrong_in_the_configuration_of_the_store_is_named() {
+    let discovery = Discovery::new(json!([]));
+    let mut node = Node::start(&discovery);
+    node.kill();
+    for (store, told) in [
+        (json!({"sync": "often"}), r#"store.sync: "often" is none of none, group, interval"#),
+        (json!({"sync": "interval"}), "store.interval_ms: has to be from 1 to 60000"),
+        (json!({"sync": "group", "interval_ms": 5}), "store.interval_ms: goes with sync = interval only"),
+        (json!({"snyc": "group"}), "unknown field `snyc`"),
+    ] {
+        node.config["store"] = store;
+        let (status, log) = node.start_refused();
+        assert!(!status.success() && log.contains(told), "{log}");
+    }
+}
+
+/// A disk that is full is told, and service goes on by itself once there is room again.
+#[test]
+fn a_journal_that_cannot_be_written_is_unhealthy_until_it_can_be() {
+    let control = free_address().to_string();
+    let endpoint = Peer::new(|_| ok());
+    let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7)]));
+    let mut node = Node::with(&discovery, json!([]), |c| {
+        c["control"] = json!(control);
+        // Segments of 12 KB: a few messages begin a new one.
+        c["limits"]["disk_mb"] = json!(0.2);
+    });
+    assert_eq!(node.call("GET /healthcheck"), 200);
+    for id in ["first", "second"] {
+        assert_eq!(node.hand_in("alert", id, 7, 16_000, &[1; 3_000]), 202);
+        endpoint.wait_for(id, 1);
+    }
+    let journal = node.state().join("journal");
+    // A folder that is gone fails the next segment as a full disk does.
+    let away = node.state().join("away");
+    std::fs::rename(&journal, &away).unwrap();
+    let refused =
+        (0..1_000).find(|number| node.hand_in("alert", &format!("m{number}"), 7, 16_000, &[1; 3_000]) == 503);
+    let refused = format!("m{}", refused.expect("one is refused"));
+    assert_eq!(node.call("GET /healthcheck"), 503);
+    assert!(node.log().contains("cannot write the journal"), "{}", node.log());
+    std::fs::rename(&away, &journal).unwrap();
+    node.until("it is healthy again", || node.call("GET /healthcheck") == 200);
+    assert_eq!(node.hand_in("alert", "later", 7, 16_000, b"x"), 202);
+    endpoint.wait_for("later", 1);
+    node.terminate();
+    assert!(node.wait_exit().success());
+    node.restart();
+    // What was refused is not sent by the next process, and what was delivered is not sent again.
+    assert!(!endpoint.seen().iter().any(|r| r.id() == refused));
+    let seen: Vec<String> = endpoint.seen().iter().map(|r| r.id().to_string()).collect();
+    let once: BTreeSet<&String> = seen.iter().collect();
+    assert_eq!(once.len(), seen.len(), "{seen:?}, refused {refused}: {}", node.log());
+}
