cairnpulley state: show, verify, export and repair a sender's lasting folder

Need: what a sender owes lay in a folder that only a sender could read. Operators have to see what is in one, whether it is sound, get the rest out of a damaged one, and go back to a version before the log.

Change: `state show|verify|export|repair DIR`, as text or JSON, with exit code 0 for sound, 1 for damage and 2 for what can't be read or written. Folders of every version are read without a change; export and repair are refused while a sender owns the folder, and never write over anything.

--- a/crates/cairnpulley/src/main.rs
+++ b/crates/cairnpulley/src/main.rs
@@ -2,6 +2,7 @@
 mod logging;
 mod output;
 mod range;
+mod state;
 
 use clap::{Args, Parser, Subcommand};
 use std::path::PathBuf;
@@ -29,6 +30,11 @@
     /// The proving ground: experiments with real senders.
     #[command(subcommand)]
     Range(Range),
+    /// A sender's lasting folder: what it holds, whether it is sound, and ways out of it.
+    ///
+    /// Exits with 0 if it is sound, 1 if something in it is damaged, 2 if it can't be read or written.
+    #[command(subcommand)]
+    State(state::Command),
 }
 
 #[derive(Args)]
@@ -127,6 +133,13 @@
         Command::Range(Range::Compare { a, b, json }) => range::compare(&a, &b, json),
         Command::Range(Range::Report { dir, to }) => range::report(&dir, to.as_deref()),
         Command::Range(Range::Check { file, seed }) => range::check(&file, seed),
+        Command::State(command) => match state::run(&command) {
+            Ok(exit) => return exit.into(),
+            Err(error) => {
+                eprintln!("cairnpulley: {error}");
+                return output::Exit::Usage.into();
+            }
+        },
     };
     match done {
         Ok(exit) => exit.into(),
--- a/src/records.rs
+++ b/src/records.rs
@@ -2,6 +2,7 @@
 //!
 //! `payload` is their form in the log of `crates/store`, `journal_file` that of the single file before it.
 pub mod book;
+pub mod folder;
 pub mod journal_file;
 pub mod payload;
 
