Measure the store, and keep the account of a segment's live bytes instead of summing it

The first of them showed a fault: taking over a file with 20,000 messages took 8.3 s (1,000: 25 ms), as each append listed all keys of the oldest segment and summed what lives of them. A segment now keeps that sum.

--- /dev/null
+++ b/crates/range/examples/readiness.rs
@@ -0,0 +1,177 @@
+//! How long a sender takes to be ready over what a crash has left, as a multiple of reading those files once.
+//!
+//!     cargo run --release -p range --example readiness -- target/release/nickelshed [journal-file]
+//!
+//! With `journal-file` folders are in the form before the log, for senders of that time or to see the taking over.
+use leadfold::records::book::Book;
+use leadfold::records::{folder, journal_file, wall_ms, Owed, Taken};
+use serde_json::json;
+use std::error::Error;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::process::{Command, Stdio};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+const PLAYS: usize = 9;
+const BODY: usize = 300;
+const GIVE_UP: Duration = Duration::from_secs(30);
+
+fn book(messages: u64) -> Book {
+    let mut book = Book::default();
+    for id in 0..messages {
+        let taken = Taken {
+            id,
+            class: "order".into(),
+            tenant: "acme".into(),
+            dest: 9,
+            trace: format!("{id:016x}"),
+            key: None,
+            end: wall_ms() + 600_000,
+            body: vec![7; BODY].into(),
+        };
+        book.enter(Owed { taken: Rc::new(taken), attempts: Vec::new(), ending: None });
+    }
+    book
+}
+
+/// Answers every call at once with a list of one endpoint, which no message is for.
+fn discovery() -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let at = listener.local_addr()?;
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            std::thread::spawn(move || serve(stream));
+        }
+    });
+    Ok(at)
+}
+
+fn serve(mut stream: TcpStream) {
+    let list = json!({"generation": 1, "reset": true, "instances": [{"instanceId": "e-1",
+        "hostPort": "127.0.0.1:9", "zone": "z", "machineType": "plain", "cell": 1, "lifecycle": "Ready",
+        "weight": 1.0, "startedAtMs": 0}]})
+    .to_string();
+    let Ok(read) = stream.try_clone() else { return };
+    let mut lines = BufReader::new(read).lines();
+    while let Some(Ok(first)) = lines.next() {
+        if !lines.by_ref().map_while(Result::ok).any(|line| line.is_empty()) {
+            return;
+        }
+        if first.contains("wait=") {
+            std::thread::sleep(Duration::from_secs(5));
+        }
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
+        if stream.write_all(answer.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+fn is_ready(at: SocketAddr) -> bool {
+    let Ok(mut stream) = TcpStream::connect(at) else { return false };
+    let mut head = [0; 12];
+    stream.write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").is_ok()
+        && stream.read_exact(&mut head).is_ok()
+        && head.ends_with(b"200")
+}
+
+/// Seconds that reading all files of a folder takes.
+fn reading(folder: &Path) -> Result<f64, Box<dyn Error>> {
+    let start = Instant::now();
+    let mut bytes = 0;
+    let mut folders = vec![folder.to_path_buf()];
+    while let Some(folder) = folders.pop() {
+        for entry in std::fs::read_dir(folder)? {
+            let entry = entry?;
+            match entry.file_type()?.is_dir() {
+                true => folders.push(entry.path()),
+                false => bytes += std::fs::read(entry.path())?.len(),
+            }
+        }
+    }
+    std::hint::black_box(bytes);
+    Ok(start.elapsed().as_secs_f64())
+}
+
+/// Seconds to readiness, and to read the folder once just before.
+fn play(
+    sender: &str,
+    messages: u64,
+    file: bool,
+    discovery: SocketAddr,
+) -> Result<(f64, f64), Box<dyn Error>> {
+    let work = tempfile::tempdir()?;
+    let state = work.path().join("state");
+    let book = book(messages);
+    if file {
+        std::fs::create_dir(&state)?;
+        std::fs::write(state.join("journal"), journal_file::write(book.owed().values()))?;
+    } else {
+        folder::write(work.path(), &book, "n0", &state)?;
+    }
+    let listen = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+    let class = json!({"Name": "order", "PromiseNs": 3_000_000_000u64, "DeadlineNs": 900_000_000_000u64,
+        "Effect": "unsafe", "DedupScope": "all", "WindowNs": 15_000_000_000u64, "Worth": 1, "LateWorth": 0.3});
+    let config = json!({"name": "n0", "listen": listen.to_string(), "discovery": discovery.to_string(),
+        "seed": "1", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256, "disk_mb": 64},
+        "known": {"generation": 0, "reset": true, "instances": []},
+        "settings": {"NInstances": 1, "TickNs": 5_000_000, "Kinds": ["plain"], "Localities": ["z"],
+            "Realms": [{"Name": "acme", "QuotaPerS": 100.0}], "Weights": "silent",
+            "FamilyInfo": {"CallsOut": 16, "KindBatch": [1], "SeparateRoutes": [false]},
+            "Feedback": {"Source": "piggyback", "Fields": []},
+            "Limits": {"MaxOpen": 50_000, "MaxAttempts": 3, "Cancel": true, "IdleCloseNs": 20_000_000_000u64,
+                "DialTimeoutNs": 1_000_000_000, "MaxRetryAfterNs": 3_000_000_000u64},
+            "Safety": {"StartCapacity": 0.26, "ColdNs": 9_500_000_000u64, "FallMultiple": 1.5,
+                "OverloadForNs": 2_000_000_000}, "Services": [class]}});
+    let path = work.path().join("config.json");
+    std::fs::write(&path, config.to_string())?;
+    let read = reading(&state)?;
+    let start = Instant::now();
+    let mut child = Command::new(sender)
+        .env("EDGE_STATE", &state)
+        .env("EDGE_CONFIG", &path)
+        .stdin(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()?;
+    let ready = loop {
+        if is_ready(listen) {
+            break Ok(start.elapsed().as_secs_f64());
+        }
+        if start.elapsed() > GIVE_UP {
+            break Err("it is never ready");
+        }
+        std::thread::sleep(Duration::from_micros(200));
+    };
+    child.kill()?;
+    child.wait()?;
+    Ok((ready?, read))
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let sender = args.first().ok_or("the sender's program is missing")?;
+    let file = args.get(1).is_some_and(|form| form == "journal-file");
+    let discovery = discovery()?;
+    println!("messages  ready (ms, median)  least  most  reading once (ms)  multiple");
+    for messages in [0, 300, 1_000, 20_000] {
+        let mut plays: Vec<(f64, f64)> = Vec::new();
+        for _ in 0..PLAYS {
+            plays.push(play(sender, messages, file, discovery)?);
+        }
+        plays.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let ms = |seconds: f64| seconds * 1e3;
+        let (ready, read) = plays[PLAYS / 2];
+        let (least, most) = (plays[0].0, plays[PLAYS - 1].0);
+        println!(
+            "{messages:8}  {:18.1}  {:5.1}  {:4.1}  {:17.2}  {:8.1}",
+            ms(ready),
+            ms(least),
+            ms(most),
+            ms(read),
+            ready / read
+        );
+    }
+    Ok(())
+}
--- a/crates/store/src/accounts.rs
+++ b/crates/store/src/accounts.rs
@@ -23,8 +23,9 @@
 #[derive(Default)]
 pub struct Segment {
     pub length: u64,
-    /// Keys that begin in it.
+    /// Keys that begin in it, and the bytes of all their records.
     pub keys: BTreeSet<u64>,
+    pub out: u64,
 }
 
 #[derive(Default)]
@@ -41,12 +42,17 @@
             Does::Begin => {
                 self.leave(key);
                 self.live.insert(key, Live { segment, bytes, sequence });
-                self.segments.entry(segment).or_default().keys.insert(key);
+                let segment = self.segments.entry(segment).or_default();
+                segment.keys.insert(key);
+                segment.out += bytes;
             }
             Does::Add => {
                 if let Some(live) = self.live.get_mut(&key) {
                     live.bytes += bytes;
                     live.sequence = sequence;
+                    if let Some(segment) = self.segments.get_mut(&live.segment) {
+                        segment.out += bytes;
+                    }
                 }
             }
             Does::End => self.leave(key),
@@ -57,6 +63,7 @@
         if let Some(live) = self.live.remove(&key) {
             if let Some(segment) = self.segments.get_mut(&live.segment) {
                 segment.keys.remove(&key);
+                segment.out -= live.bytes;
             }
         }
     }
@@ -78,9 +85,9 @@
         self.segments.values().map(|s| room(s.length)).sum()
     }
 
-    /// The oldest segment, with the keys that begin in it.
-    pub fn oldest(&self) -> Option<(u64, Vec<u64>)> {
-        self.segments.iter().next().map(|(n, s)| (*n, s.keys.iter().copied().collect()))
+    /// The oldest segment, by number.
+    pub fn oldest(&self) -> Option<(u64, &Segment)> {
+        self.segments.iter().next().map(|(n, s)| (*n, s))
     }
 
     /// The oldest segments in which no key begins, up to the one before `current`.
--- a/crates/store/src/log.rs
+++ b/crates/store/src/log.rs
@@ -293,8 +293,8 @@
         let last = self.next_segment;
         loop {
             self.release()?;
-            let Some((number, keys)) = self.accounts.oldest() else { break };
-            let out: u64 = keys.iter().filter_map(|k| self.accounts.live.get(k)).map(|l| l.bytes).sum();
+            let Some((number, oldest)) = self.accounts.oldest() else { break };
+            let out = oldest.out;
             let around = self.around(need);
             let reserve = out.max(self.segment_size) + self.segment_size;
             if self.used() + need + around + reserve <= self.config.limit {
@@ -304,6 +304,7 @@
             if is_current || number >= last || self.used() + out + around > self.config.limit {
                 break;
             }
+            let keys: Vec<u64> = oldest.keys.iter().copied().collect();
             self.clean(&keys, images)?;
         }
         match begins {
