--- a/crates/range/src/process.rs
+++ b/crates/range/src/process.rs
@@ -94,13 +94,19 @@
             "known": {"generation": 0, "reset": true, "instances": []},
             "settings": plan.settings(number as usize),
         });
+        let mut store = json!({});
         match program_limits.sync {
             Sync::None => {}
-            Sync::Group => config["store"] = json!({"sync": "group"}),
+            Sync::Group => store["sync"] = json!("group"),
             Sync::Interval => {
-                config["store"] = json!({"sync": "interval", "interval_ms": program_limits.interval_ms})
+                store["sync"] = json!("interval");
+                store["interval_ms"] = json!(program_limits.interval_ms);
             }
         }
+        if let Some(seconds) = program_limits.learned_s {
+            store["learned_s"] = json!(seconds);
+        }
+        config["store"] = store;
         Ok(Sender {
             number,
             program: program.to_path_buf(),
--- a/crates/range/src/spec.rs
+++ b/crates/range/src/spec.rs
@@ -166,6 +166,8 @@
     pub sync: Sync,
     /// The span of `interval`, in milliseconds.
     pub interval_ms: u64,
+    /// Seconds between two snapshots of what senders have learned; absent: a killed sender learns anew.
+    pub learned_s: Option<u64>,
 }
 
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, PartialEq, Eq)]
@@ -187,6 +189,7 @@
             ready_s: 30.0,
             sync: Sync::None,
             interval_ms: 20,
+            learned_s: None,
         }
     }
 }
--- a/src/bin/nickelshed/config.rs
+++ b/src/bin/nickelshed/config.rs
@@ -32,9 +32,20 @@
 struct Store {
     sync: Option<String>,
     interval_ms: Option<u64>,
+    /// Seconds between two snapshots of what the module has learned; absent: none is kept.
+    learned_s: Option<u64>,
 }
 
 impl Store {
+    fn learned(&self) -> Result<Option<Duration>, String> {
+        match self.learned_s {
+            Some(seconds) if !(1..=3_600).contains(&seconds) => {
+                Err("store.learned_s: has to be from 1 to 3600".into())
+            }
+            seconds => Ok(seconds.map(Duration::from_secs)),
+        }
+    }
+
     fn sync(&self) -> Result<Sync, String> {
         match (self.sync.as_deref(), self.interval_ms) {
             (None | Some("none"), None) => Ok(Sync::None),
@@ -73,6 +84,8 @@
     /// The sender's name, at most as long as the journal takes it.
     pub name: String,
     pub sync: Sync,
+    /// How often what was learned is kept, if it is.
+    pub learned: Option<Duration>,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     /// The second address, where there is one.
@@ -113,9 +126,11 @@
     let (settings, around) = settings::read(&file.settings).map_err(|e| format!("{path}: settings: {e}"))?;
     let control = var("EDGE_CONTROL").or(file.control);
     let sync = file.store.sync().map_err(|e| format!("{path}: {e}"))?;
+    let learned = file.store.learned().map_err(|e| format!("{path}: {e}"))?;
     Ok(Config {
         name: short(var("EDGE_NAME").or(file.name).unwrap_or_default()),
         sync,
+        learned,
         listen: address("EDGE_LISTEN", var("EDGE_LISTEN").or(file.listen))?,
         discovery: address("EDGE_DISCOVERY", file.discovery.or_else(|| var("EDGE_DISCOVERY")))?,
         control: control.map(|at| address("EDGE_CONTROL", Some(at))).transpose()?,
--- a/src/bin/nickelshed/core.rs
+++ b/src/bin/nickelshed/core.rs
@@ -3,6 +3,7 @@
 use crate::config::Config;
 use crate::discovery::List;
 use crate::journal::Journal;
+use crate::learned::{Learned, Snapshot};
 use crate::maint::Maint;
 use crate::notices::Notice;
 use leadfold::api::*;
@@ -141,6 +142,8 @@
     around: Around,
     journal: Journal<F>,
     maint: Maint,
+    learned: Option<Learned>,
+    seed: u64,
     client: Rc<Client>,
     inbox: mpsc::Receiver<Input>,
     /// What has come by the second address; it goes before the inbox, however much waits there.
@@ -192,6 +195,8 @@
         notices: mpsc::UnboundedSender<Notice>,
     ) -> Core<F> {
         Core {
+            learned: Learned::new(&config),
+            seed: config.seed,
             sender: Sender::new(config.settings.clone(), config.seed),
             settings: config.settings,
             around: config.around,
@@ -246,6 +251,24 @@
         Some(state.held)
     }
 
+    /// Goes on with what a process that was killed had learned.
+    fn take_up_learned(&mut self) {
+        let Some(kept) = self.learned.as_ref().and_then(|l| l.read(wall_ns())) else { return };
+        self.sender = kept.module.restarted(self.settings.clone(), self.seed);
+        let (clock, wall) = kept.clock;
+        (self.start, self.epoch) = (Instant::now(), clock + wall_ns().saturating_sub(wall) as Ns);
+        self.names = kept.endpoints.iter().zip(0..).map(|((name, _), e)| (name.clone(), e)).collect();
+        self.endpoints = kept.endpoints;
+    }
+
+    fn keep_learned(&mut self) {
+        let clock = (self.clock(Instant::now()), wall_ns());
+        if let Some(learned) = self.learned.as_mut().filter(|l| l.due() <= Instant::now()) {
+            let endpoints = &self.endpoints;
+            self.sender.learned(|module| learned.write(&Snapshot { module, clock, endpoints }));
+        }
+    }
+
     /// The calls that are out.
     pub fn calls(&self) -> HashMap<(u64, u32), Out> {
         self.calls.clone()
@@ -255,6 +278,9 @@
     /// a fresh list is waited for, but not for long.
     pub async fn resume(&mut self, known: List, state: Option<State>) {
         let handed = state.and_then(|state| self.take_over(state));
+        if handed.is_none() {
+            self.take_up_learned();
+        }
         let mut events = self.taken_out();
         if handed.is_none() {
             events.push(self.list(known, true));
@@ -336,7 +362,8 @@
             let wake = self.timer.map(|at| self.instant(at));
             let wake = if self.next.is_empty() { wake } else { Some(Instant::now()) };
             let probe = self.write_failed.map(|at| at + PROBE);
-            let wake = [wake, self.wind, self.journal.sync_due(), probe]
+            let learned = self.learned.as_ref().map(Learned::due);
+            let wake = [wake, self.wind, self.journal.sync_due(), probe, learned]
                 .into_iter()
                 .flatten()
                 .filter(|&w| self.started_before(w))
@@ -364,6 +391,7 @@
             }
             self.round(std::mem::take(&mut inputs), events).await;
             self.look_after_journal().await;
+            self.keep_learned();
         }
     }
 
--- a/src/bin/nickelshed/core/tests.rs
+++ b/src/bin/nickelshed/core/tests.rs
@@ -148,6 +148,7 @@
     Config {
         name: "n0".into(),
         sync: Sync::Group,
+        learned: None,
         listen: nowhere,
         discovery: nowhere,
         control: None,
--- a/src/bin/nickelshed/main.rs
+++ b/src/bin/nickelshed/main.rs
@@ -6,6 +6,7 @@
 mod discovery;
 mod handover;
 mod journal;
+mod learned;
 mod maint;
 mod notices;
 mod owner;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -9,6 +9,7 @@
 use crate::state::*;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
+use std::mem::take;
 
 /// How often caps are chosen, held messages swept and overdue calls noticed (the paper's control rate).
 const PERIOD: Ns = 100 * MS;
@@ -139,6 +140,32 @@
         Sender { cfg, timer_at: None, ..self }
     }
 
+    /// What it has learned, without the messages and calls of this process.
+    pub fn learned<T>(&mut self, keep: impl FnOnce(&Sender) -> T) -> T {
+        let work = (take(&mut self.messages), take(&mut self.calls), take(&mut self.keys));
+        let kept = keep(self);
+        (self.messages, self.calls, self.keys) = work;
+        kept
+    }
+
+    /// Goes on with what a process had learned that was killed since: nothing of its work is out or held here,
+    /// its connections are gone, and a told wait ends with a restart. A cold return that was under way goes on.
+    pub fn restarted(self, cfg: Settings, seed: u64) -> Sender {
+        let mut new =
+            Sender { cfg, random: seed, timer_at: None, next_end: Ns::MAX, open: 0, trials: 0, ..self };
+        new.endpoints.values_mut().for_each(|e| (e.in_flight, e.warm) = (0, 0));
+        for route in new.routes.values_mut() {
+            (route.in_flight, route.wait_until) = (0, LONG_AGO);
+        }
+        for dest in new.dests.values_mut() {
+            dest.in_flight = 0;
+            dest.held.clear();
+        }
+        (new.active, new.agenda, new.maint) = Default::default();
+        new.ended.clear();
+        new
+    }
+
     /// Takes all events of one batch, then decides.
     pub fn handle(&mut self, now: Ns, events: &[Event], out: &mut Vec<Action>) {
         self.now = self.now.max(now);
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -222,3 +222,47 @@
     let once: BTreeSet<&String> = seen.iter().collect();
     assert_eq!(once.len(), seen.len(), "{seen:?}, refused {refused}: {}", node.log());
 }
+
+/// What was learned is taken up after a kill, but for a told wait, which a restart ends; what does not suit is left.
+#[test]
+fn what_was_learned_outlasts_a_kill_where_it_suits_and_a_told_wait_does_not() {
+    let calls = std::sync::atomic::AtomicUsize::new(0);
+    let endpoint = Peer::new(move |_| match calls.fetch_add(1, std::sync::atomic::Ordering::SeqCst) {
+        1 => answer("429 Too Many Requests", "Retry-After: 3000\r\n", ""),
+        _ => ok(),
+    });
+    let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7)]));
+    let mut node = Node::with(&discovery, json!([]), |c| {
+        c["store"] = json!({"learned_s": 1});
+        c["settings"]["Limits"]["MaxRetryAfterNs"] = json!(3_600_000_000_000u64);
+    });
+    assert_eq!(node.hand_in("alert", "first", 7, 16_000, b"x"), 202);
+    endpoint.wait_for("first", 1);
+    let learned = node.state().join("learned");
+    // Told to wait for most of an hour; only a process that has forgotten that calls again.
+    assert_eq!(node.hand_in("alert", "waits", 7, 16_000, b"x"), 202);
+    endpoint.wait_for("waits", 1);
+    let written = || std::fs::metadata(&learned).and_then(|m| m.modified()).ok();
+    let before = written();
+    node.until("a snapshot since", || written() > before);
+    node.kill();
+    node.restart();
+    endpoint.wait_for("waits", 2);
+    assert!(node.log().contains("going on with what was learned before"), "{}", node.log());
+    node.kill();
+    let whole = std::fs::read(&learned).unwrap();
+    let left = |node: &mut Node, why: &str| {
+        node.restart();
+        let log = node.log();
+        let told = log.lines().rev().find(|l| l.contains("learned before")).unwrap_or_default();
+        assert!(told.contains("is left") && told.contains(why), "{why}: {log}");
+        node.kill();
+    };
+    let mut bytes = whole.clone();
+    bytes[whole.len() / 2] ^= 1;
+    std::fs::write(&learned, &bytes).unwrap();
+    left(&mut node, "damaged");
+    std::fs::write(&learned, &whole).unwrap();
+    node.config["settings"]["FamilyInfo"]["CallsOut"] = json!(4);
+    left(&mut node, "other settings");
+}
