--- a/src/rules.rs
+++ b/src/rules.rs
@@ -148,8 +148,8 @@
         kept
     }
 
-    /// Goes on with what a process had learned that was killed since: nothing of its work is out or held here,
-    /// its connections are gone, and a told wait ends with a restart. A cold return that was under way goes on.
+    /// Goes on with what a process had learned that was killed since: nothing of its work is out or held,
+    /// its connections are gone, and a told wait ends with a restart. A cold return under way goes on.
     pub fn restarted(self, cfg: Settings, seed: u64) -> Sender {
         let mut new =
             Sender { cfg, random: seed, timer_at: None, next_end: Ns::MAX, open: 0, trials: 0, ..self };
