Test a sender that goes on from a repaired folder

Need: repair was shown by what the command reads of its own folder, not by a sender that starts on it.

Change: a test with a sender that is killed with 20 messages, a bit that flips, the folder written anew as `state repair` does, and a sender started on that: 19 are delivered once, and nothing is told as damaged.

--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -1,5 +1,6 @@
 //! What a sender owes outlasts its process, damage of its files, and a change of their format.
 mod peers;
+use leadfold::records::folder;
 use peers::*;
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
@@ -266,3 +267,31 @@
     node.config["settings"]["FamilyInfo"]["CallsOut"] = json!(4);
     left(&mut node, "other settings");
 }
+
+/// As `cairnpulley state repair` makes it of a damaged one.
+#[test]
+fn a_sender_goes_on_from_a_folder_that_was_repaired() {
+    let endpoint = Peer::new(|_| ok());
+    let discovery = Discovery::new(json!([]));
+    let mut node = Node::start(&discovery);
+    let ids = taken_on(&node, 20);
+    node.kill();
+    let path = node.segments().remove(0);
+    let mut bytes = std::fs::read(&path).unwrap();
+    let at = bytes.len() / 2;
+    bytes[at] ^= 1;
+    std::fs::write(&path, bytes).unwrap();
+    let damaged = folder::read(&node.state()).unwrap();
+    assert!(damaged.faults.iter().any(|f| !f.expected), "{:?}", damaged.faults);
+    assert_eq!(damaged.owner.as_deref(), Some("n0"));
+    let new = node.folder.join("new");
+    folder::write(&node.state(), &damaged.book, "n0", &new).unwrap();
+    std::fs::remove_dir_all(node.state()).unwrap();
+    std::fs::rename(&new, node.state()).unwrap();
+    discovery.set(json!([ready("e-1", endpoint.address, 7)]));
+    node.restart();
+    node.until("all but one are delivered", || endpoint.seen().len() >= ids.len() - 1);
+    let seen: BTreeSet<String> = endpoint.seen().iter().map(|r| r.id().to_string()).collect();
+    assert!(seen.len() == ids.len() - 1 && seen.is_subset(&ids), "{seen:?}");
+    assert!(!node.log().contains("DAMAGED"), "{}", node.log());
+}
