Learn limits that nobody tells from refusals, and tell taken connections from them

Change: a refusal takes what this sender had in use for the limit; the same steps as for a told one then apply, with no upper bound and no faster regrowth than in four of its own turns. A cold return is paced by what the sender usually had served before the outage. Calls that were out when another was refused count no second time. 503 with a close on a new connection is an outcome of its own (`Crowded`): it lowers the pace and never reads as shut. A connection is kept for calls that are served often.

Dropped: halving after refusals in a row (better for many senders, worse on the full fleet), the rate of the last eight calls, a start at twice the use.

--- a/src/api.rs
+++ b/src/api.rs
@@ -147,6 +147,8 @@
     TurnedAway,
     NoAnswer,
     NoConnection,
+    /// The endpoint answered that its connections are all taken: it is up, and the limit had no part in it.
+    Crowded,
     ConnectionLost,
     CalledOff,
     NotSent,
@@ -155,7 +157,7 @@
 impl Outcome {
     /// It proves that the attempt had no effect.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent)
+        matches!(self, Outcome::TurnedAway | Outcome::NoConnection | Outcome::Crowded | Outcome::NotSent)
     }
 
     /// The attempt may run on after this outcome.
--- a/src/bin/nickelshed/client.rs
+++ b/src/bin/nickelshed/client.rs
@@ -608,9 +608,17 @@
                 Ok(answer) => break (link, answer),
             }
         };
-        let ends = read_ends(&members, &answer, endpoint, started);
+        let mut ends = read_ends(&members, &answer, endpoint, started);
         let closes =
             answer.headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
+        // Refused and closed as its first call came: it was the connection that had no place there.
+        if answer.status == 503 && closes && link.stood.is_none() {
+            ends.iter_mut().for_each(|e| e.outcome = Outcome::Crowded);
+        }
+        if answer.status != 200 {
+            let (status, new) = (answer.status, link.stood.is_none());
+            tracing::debug!(endpoint, status, closes, new, headers = ?answer.headers, "refused");
+        }
         let read = match answer.rest {
             Some(rest) => {
                 let rest = timeout(TAIL, Limited::new(rest, MAX_BODY).collect()).await;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -54,6 +54,19 @@
 /// share to all, however many there are.
 const RISE: f64 = 0.045;
 
+/// Over so long the calls to a route are counted for its usual rate.
+const USE_SPAN: f64 = 5e9;
+
+/// A learned pace takes as many of its own turns to double.
+const REGROW: f64 = 4.0;
+/// A pace of more than this many times what is sent is none.
+const UNUSED: f64 = 4.0;
+/// A destination that comes back can do about so many times what one of its senders usually has of it.
+const SPARE: f64 = 4.0;
+
+/// All senders together call a second at least so often, to notice that a destination is back.
+const LEAST: f64 = 0.15;
+
 /// Aged count, mean and deviation.
 #[derive(Clone, Copy, Default, Serialize, Deserialize)]
 pub(crate) struct Stat {
@@ -81,12 +94,102 @@
     }
 }
 
+impl Use {
+    fn since(at: Ns) -> Use {
+        Use { at, ..Use::default() }
+    }
+    fn book(&mut self, now: Ns) {
+        let keep = (-((now - self.at).max(0) as f64) / USE_SPAN).exp();
+        self.sum = self.sum * keep + 1.0;
+        self.span = self.span * keep + USE_SPAN * (1.0 - keep);
+        self.at = now;
+    }
+    /// Calls a second; what was seen for less than a second counts as seen for one.
+    fn rate(&self) -> f64 {
+        self.sum * 1e9 / self.span.max(SECOND as f64)
+    }
+}
+
 impl Route {
+    /// The limit told by reports or the list, in calls a second of all senders; 0 where there is none.
+    fn told(&self) -> f64 {
+        self.limit.unwrap_or(self.hint)
+    }
+    /// What the share is of.
+    fn whole(&self) -> f64 {
+        if self.told() > 0.0 {
+            self.told()
+        } else {
+            self.learned
+        }
+    }
     /// The share that may be used: what was told holds for a `span` and then doubles with each, as others'
-    /// calls are not seen.
+    /// calls are not seen. Of a limit that nobody told it has no bound.
     fn share_now(&self, now: Ns, span: Ns) -> f64 {
-        let stale = (now - self.share_at - span).max(0) as f64 / span as f64;
-        (self.share * stale.exp2()).min(1.0)
+        // Of a limit that only refusals tell nothing is known until the next call.
+        let mut over = span as f64;
+        if self.told() <= 0.0 && self.learned > 0.0 {
+            over = over.max(REGROW * 1e9 / (self.learned * self.share));
+        }
+        let stale = (now - self.share_at - span).max(0) as f64 / over;
+        (self.share * stale.exp2()).min(self.most())
+    }
+    fn most(&self) -> f64 {
+        if self.told() > 0.0 {
+            1.0
+        } else {
+            f64::INFINITY
+        }
+    }
+    /// Calls a second that this sender may send; infinite where no limit was seen.
+    fn pace(&self, now: Ns, span: Ns) -> f64 {
+        let pace = self.whole() * self.share_now(now, span);
+        if pace > 0.0 {
+            pace
+        } else {
+            f64::INFINITY
+        }
+    }
+    /// Where nobody tells a limit, it is first taken to be what this sender had in use, and again wherever the
+    /// pace has grown far past that.
+    fn learn(&mut self, now: Ns, span: Ns, used: f64) -> bool {
+        let new = self.told() <= 0.0 && self.pace(now, span) > UNUSED * used;
+        if new {
+            (self.learned, self.share, self.share_before, self.share_at) = (used, 1.0, 1.0, now);
+        }
+        new
+    }
+    /// A call sent at `sent` found no room. Those that were out when another found none tell nothing new.
+    fn step_down(&mut self, now: Ns, sent: Ns, again: bool, n: f64, span: Ns) -> bool {
+        let fresh = sent >= self.refused_at;
+        let learned = self.learn(now, span, self.sent.rate().max(self.usual.rate()));
+        let mut share = self.share_now(now, span);
+        if self.told() > 0.0 {
+            // From what was in use: an equal share would leave unused what the others don't send. What was
+            // not in use is no guide: did all of a fleet step down from it, the limit would be used up by
+            // refused calls long before they came down to what it takes.
+            share = share.min((per_second(self.served.aged(now)) / self.told()).max(1.0 / n));
+            self.share = (share * 0.8).max(0.5 / n);
+        } else {
+            let cut = if learned || !fresh { 1.0 } else { 0.8 };
+            self.share = (share * cut).max(LEAST / n / self.learned);
+        }
+        if !again {
+            self.share_before = share;
+        }
+        if fresh {
+            self.refused_at = now;
+        }
+        // The pause is no staleness: else all would grow back in it and use up the limit by asking.
+        self.share_at = now + (1e9 / (self.whole() * self.share)).min(30e9) as Ns;
+        fresh
+    }
+    /// After so many calls in a row that found no room.
+    fn pause(&mut self, now: Ns, run: u32, jitter: f64) {
+        // One turn to two: those who were refused together would else come again together.
+        self.tokens = self.tokens.min(0.5 - jitter);
+        let back = (PERIOD << run.saturating_sub(1).min(4)) as f64 * jitter;
+        self.not_before = self.not_before.max(now + back as Ns);
     }
 }
 
@@ -317,6 +420,8 @@
                 share_at: self.now,
                 tokens: 1.0,
                 filled_at: self.now,
+                sent: Use::since(self.now),
+                usual: Use::since(self.now),
                 ..Route::default()
             });
             let trust = if self.cfg.rough_hints { ROUGH } else { 1.0 };
@@ -420,7 +525,10 @@
             // Quick errors would read as quick answers: all but a served call books the full aim, so that a
             // class misses there once about half of its calls fail.
             let took = if e.outcome == Outcome::Served { e.took.max(0) } else { class.aim };
-            if !matches!(e.outcome, Outcome::NotSent | Outcome::CalledOff | Outcome::NoConnection) {
+            if !matches!(
+                e.outcome,
+                Outcome::NotSent | Outcome::CalledOff | Outcome::NoConnection | Outcome::Crowded
+            ) {
                 let cells = dest.cells.len() / self.cfg.classes.len();
                 dest.cells[message.class * cells + level].book(now, took as f64);
             }
@@ -511,49 +619,54 @@
         }
         let failed = match e.outcome {
             Outcome::Served => {
+                place.gap = now.saturating_sub(place.served_at);
                 place.served_at = now;
                 place.avoid_until = now;
                 route.served.book(now, 1.0);
-                (route.failures, route.refusals) = (0, 0);
+                // An outage is no use: what was usual before it tells what the destination can do after it.
+                if route.cold {
+                    route.usual.at = now;
+                } else {
+                    route.usual.book(now);
+                }
+                (route.failures, route.refusals, route.crowded) = (0, 0, 0);
                 route.failing *= 0.7;
                 route.doubt = false;
                 // The share follows what is left of the allowance: others' calls are not seen otherwise.
-                let share = route.share_now(now, stale);
+                let (share, most) = (route.share_now(now, stale), route.most());
                 // An answer without a report tells just that there was room for one more.
                 (route.share, route.share_at) = match left {
-                    Some(l) if l > 0.5 => ((share * n.powf(RISE)).min(1.0), now - stale),
+                    Some(l) if l > 0.5 => ((share * n.powf(RISE)).min(most), now - stale),
                     Some(l) if l < 0.2 => ((share * 0.95).max(0.7 / n), now),
                     Some(_) => (share, now),
                     // It does not hold up what time gives back: with few answers each, a fleet would never
                     // have the limit back that one clump or outage took.
-                    None => ((share * PROBE).min(1.0), route.share_at.max(now - stale)),
+                    None => ((share * PROBE).min(most), route.share_at.max(now - stale)),
                 };
                 false
             }
             Outcome::TurnedAway => {
-                route.refusals += 1;
-                // From what was in use: an equal share would leave unused what the others don't send. An
-                // allowance that was not in use is no guide: did all of a fleet step down from it, the limit
-                // would be used up by refused calls long before they came down to what it takes.
-                let used = per_second(route.served.aged(now)) / route.limit.unwrap_or(route.hint).max(1e-9);
-                let share = route.share_now(now, stale).min(used.max(1.0 / n));
-                if route.refusals == 1 {
-                    route.share_before = share;
-                }
-                route.share = (share * 0.8).max(0.5 / n);
+                let again = route.refusals > 0;
+                let fresh = route.step_down(now, now - e.took, again, n, stale);
+                route.refusals += u32::from(fresh);
                 // Shut: what was refused tells nothing of the limit.
-                if route.refusals >= SHUT_RUN || e.wait >= SHUT_WAIT {
+                let shut = e.wait >= SHUT_WAIT || route.refusals >= SHUT_RUN;
+                if shut {
                     route.share = route.share_before;
                 }
-                // The pause is no staleness: else all would grow back in it and use up the limit by asking.
-                let rate = route.limit.unwrap_or(route.hint) * route.share;
-                route.share_at = now + if rate > 0.0 { (1e9 / rate).min(30e9) as Ns } else { 0 };
-                // One turn to two: those who were refused together would else come again together.
-                route.tokens = route.tokens.min(0.5 - jitter);
-                let back = (PERIOD << (route.refusals - 1).min(4)) as f64 * jitter;
-                route.not_before = route.not_before.max(now + back as Ns);
+                route.pause(now, route.refusals, jitter);
                 // At the limit a refusal is the limit's. Shut: a long wait, plenty left, or refusals only.
-                left.map_or(e.wait >= SHUT_WAIT || route.refusals >= SHUT_RUN, |l| l > 0.4)
+                left.map_or(shut, |l| l > 0.4)
+            }
+            // Calls that find no place take places as well: together all must call less often.
+            Outcome::Crowded => {
+                self.scarce_at.insert(place.kind, now);
+                (place.avoid_until, place.served_at) = (now + SECOND, now);
+                let again = route.crowded > 0;
+                route.crowded += u32::from(route.step_down(now, now - e.took, again, n, stale));
+                route.pause(now, route.crowded, jitter);
+                route.failures = 0;
+                false
             }
             Outcome::NoConnection => {
                 self.scarce_at.insert(place.kind, now);
@@ -580,6 +693,7 @@
     /// trials, and once one was `told` by an outcome a ramp. An overdue call then served was slow.
     /// Should cover kinds not listed too; harms where errors are common but the rest is well.
     fn symptom(&mut self, id: RouteId, counts: bool, told: bool) {
+        let n = self.cfg.n_instances.max(1) as f64;
         let Some(route) = self.routes.get_mut(&id) else { return };
         if counts {
             route.failures += 1;
@@ -596,6 +710,9 @@
                 let equal = 1.0 / self.cfg.n_instances as f64;
                 (route.share, route.share_at) = (route.share_now(self.now, stale).min(equal), self.now);
             }
+            if !route.cold {
+                route.learn(self.now, stale(&self.cfg), route.usual.rate().max(LEAST / n));
+            }
             route.cold = true;
             route.last_failure = self.now;
         }
@@ -631,14 +748,12 @@
 
     fn ramp_since(&self, route: &Route, since: Ns) -> f64 {
         let c = &self.cfg;
-        let capacity = match route.limit {
-            Some(limit) if limit > 0.0 => limit,
-            _ if route.hint > 0.0 => route.hint,
-            _ => per_second(route.served.aged(self.now)).max(1.0),
-        };
+        let n = c.n_instances.max(1) as f64;
+        let told = route.told();
+        let part = if told > 0.0 { told / n } else { (SPARE * route.usual.rate()).max(1.0 / n) };
         let warm = ((self.now - since) as f64 / c.cold.max(1) as f64).clamp(0.0, 1.0);
         let now_able = c.start_capacity + (1.0 - c.start_capacity) * warm;
-        (MARGIN * c.fall_multiple * now_able * capacity).max(0.15) / c.n_instances.max(1) as f64
+        (MARGIN * c.fall_multiple * now_able * part).max(LEAST / n)
     }
 
     /// When an endpoint that operators have put back may next be called while it is cold: from then on its
@@ -686,8 +801,7 @@
         if route.doubt {
             return if route.in_flight > 0 { Ns::MAX } else { route.next_trial };
         }
-        let limit = route.limit.unwrap_or(route.hint);
-        let mut rate = if limit > 0.0 { limit * route.share_now(now, stale) } else { f64::INFINITY };
+        let mut rate = route.pace(now, stale);
         let mut burst = (0.4 * rate).clamp(1.0, 4.0);
         if route.cold {
             (rate, burst) = (rate.min(ramp), 1.0);
@@ -898,14 +1012,14 @@
         let wait = (2e9 * self.random() / ramp) as Ns;
         let route = self.routes.get_mut(&route_id).expect("a candidate's route is known");
         route.in_flight += 1;
+        route.sent.book(now);
         route.tokens -= 1.0;
         route.next_trial = now + wait.clamp(500 * MS, SECOND * self.cfg.n_instances.max(3) as Ns);
         let trial = route.doubt;
         self.trials += trial as usize;
         let place = self.endpoints.get_mut(&endpoint).expect("a candidate's endpoint is known");
         let zone = place.zone;
-        place.gap = now.saturating_sub(place.used_at);
-        if place.gap >= self.cfg.idle_close {
+        if now.saturating_sub(place.used_at) >= self.cfg.idle_close {
             place.warm = place.in_flight;
         }
         if place.back_at.is_some() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -70,7 +70,7 @@
     pub filled_at: Ns,
     pub in_flight: usize,
     pub used_at: Ns,
-    /// From the call before to the last one.
+    /// From the call served before to the last one served.
     pub gap: Ns,
     /// Most calls seen in flight since the last idle close: about the connections that are warm.
     pub warm: usize,
@@ -78,6 +78,14 @@
     pub avoid_until: Ns,
 }
 
+/// Aged count of calls, and the aged time in which they were seen.
+#[derive(Clone, Copy, Default, Serialize, Deserialize)]
+pub struct Use {
+    pub sum: f64,
+    pub span: f64,
+    pub at: Ns,
+}
+
 /// What shares one limit and one outage: a destination, or one endpoint where routes are separate.
 #[derive(Default, Serialize, Deserialize)]
 #[serde(default)]
@@ -85,6 +93,13 @@
     /// Reported limit in calls a second (0: none), as far as told.
     pub limit: Option<f64>,
     pub hint: f64,
+    /// What is taken for the limit where nobody tells one (0: none seen): what this sender had of it.
+    pub learned: f64,
+    /// Calls sent, and those served outside outages.
+    pub sent: Use,
+    pub usual: Use,
+    /// When a call was last refused.
+    pub refused_at: Ns,
     /// This sender's share of the limit when last told (`share_now`).
     pub share: f64,
     pub share_at: Ns,
@@ -96,6 +111,8 @@
     pub not_before: Ns,
     pub failures: u32,
     pub refusals: u32,
+    /// Calls in a row that found all connections taken.
+    pub crowded: u32,
     pub failing: f64,
     pub doubt: bool,
     pub cold: bool,
