--- a/src/rules.rs
+++ b/src/rules.rs
@@ -150,7 +150,7 @@
             f64::INFINITY
         }
     }
-    /// Where nobody tells a limit, it is first taken to be what this sender had in use, and again wherever the
+    /// Where nobody tells a limit, it is first taken to be what this sender had in use, and again where the
     /// pace has grown far past that.
     fn learn(&mut self, now: Ns, span: Ns, used: f64) -> bool {
         let new = self.told() <= 0.0 && self.pace(now, span) > UNUSED * used;
