Begin a broken watch anew before its news count as told

Cause: a watch that fell silent was noticed 2.5 s after its wait and begun anew after a pause of up to 6 s in a large fleet, while what it missed counts as told 2 s after the wait and must be heeded 500 ms later. One that brought a torn list, or broke off, paused as long.

Change: silence is noticed 1 s after the wait; a call that was taken on and brought nothing usable is made again within half a second that each sender draws, and asks for what was missed without waiting. Only the first time in a row: when discovery goes down all watches break. Who is turned away pauses as before.

--- a/src/bin/nickelshed/discovery.rs
+++ b/src/bin/nickelshed/discovery.rs
@@ -62,10 +62,16 @@
     })
 }
 
-/// How long a watch waits, and how much longer for its answer: the agent is silent while discovery is down,
-/// and a watch begun in that time may never be answered.
+/// How long a watch waits.
 const WAIT: Duration = Duration::from_secs(5);
-const GRACE: Duration = Duration::from_millis(2_500);
+/// How long an answer that need not wait may take: discovery may take 2 s to turn a caller away.
+const AT_ONCE: Duration = Duration::from_millis(2_500);
+/// How much longer than it waits a watch may take before it counts as silent: the agent is silent while discovery
+/// is down, and a watch begun in that time may never be answered.
+const GRACE: Duration = Duration::from_secs(1);
+/// A watch that fell silent or brought what can't be read is begun anew within this time, drawn by each sender: what
+/// it missed counts as told 2 s after its wait is over, and `GRACE` of them has passed.
+const ANEW: Duration = Duration::from_millis(500);
 /// After an answer that can't be used.
 const PAUSE: Duration = Duration::from_millis(100);
 /// All senders of a fleet together let about so much time pass from one watch to the next, and, where they are
@@ -103,6 +109,16 @@
         self.wait.mul_f64(0.5 + self.random.f64() / 2.0)
     }
 
+    /// The pause after a watch broke. Only the first time in a row is it short: a whole fleet's watches break when
+    /// discovery goes down.
+    fn begin_anew(&mut self) -> Duration {
+        if self.next > self.least {
+            return self.back_off();
+        }
+        self.next = (self.next * 2).min(self.most);
+        ANEW.mul_f64(self.random.f64())
+    }
+
     /// The pause after one more call that failed: anywhere up to a bound that doubles each time.
     fn back_off(&mut self) -> Duration {
         let pause = self.next.mul_f64(self.random.f64()).max(PAUSE / 2);
@@ -115,15 +131,27 @@
     }
 }
 
-async fn get(connection: &mut Option<Connection>, at: SocketAddr, path: &str) -> Result<List, String> {
+/// Why a call brought no list.
+#[derive(Debug, thiserror::Error)]
+enum Missed {
+    /// It was not taken on: callers are too many, or nobody listens.
+    #[error("turned away: {0}")]
+    TurnedAway(String),
+    /// It was, and then nothing came that can be used.
+    #[error("{0}")]
+    Broken(String),
+}
+
+async fn get(connection: &mut Option<Connection>, at: SocketAddr, path: &str) -> Result<List, Missed> {
     let kept = Connection::kept_or_new(connection, at, Duration::from_secs(1)).await;
-    let mut link = kept.map_err(|e| e.to_string())?;
+    let mut link = kept.map_err(|e| Missed::TurnedAway(e.to_string()))?;
     let request = client::request("GET", path, at, &[], Default::default());
-    let (status, _, body) = link.exchange(request, MAX_LIST).await.map_err(|e| e.to_string())?;
+    let answer = link.exchange(request, MAX_LIST).await;
+    let (status, _, body) = answer.map_err(|e| Missed::Broken(e.to_string()))?;
     if status != 200 {
-        return Err(format!("answered {status}"));
+        return Err(Missed::TurnedAway(format!("answered {status}")));
     }
-    let list = serde_json::from_slice(&body).map_err(|e| format!("not a list: {e}"))?;
+    let list = serde_json::from_slice(&body).map_err(|e| Missed::Broken(format!("not a list: {e}")))?;
     *connection = Some(link);
     Ok(list)
 }
@@ -164,8 +192,9 @@
         let path = known.map_or("/v1/servers".to_string(), |generation| {
             format!("/v1/servers?index={generation}&wait={}", wait.as_millis())
         });
-        let allowed = if known.is_some() { wait + GRACE } else { GRACE };
-        match timeout(allowed, get(&mut connection, at, &path)).await.unwrap_or(Err("is silent".into())) {
+        let allowed = if wait.is_zero() { AT_ONCE } else { wait + GRACE };
+        let answer = timeout(allowed, get(&mut connection, at, &path)).await;
+        match answer.unwrap_or_else(|_| Err(Missed::Broken("is silent".into()))) {
             Ok(list) => {
                 if std::mem::take(&mut failing) {
                     tracing::info!("discovery answers again");
@@ -187,7 +216,12 @@
                 if !std::mem::replace(&mut failing, true) {
                     tracing::warn!(%error, "discovery fails; going on with the list held");
                 }
-                let pause = sparing.back_off();
+                // What a broken watch missed is asked for, not waited for.
+                first |= matches!(error, Missed::Broken(_));
+                let pause = match error {
+                    Missed::Broken(_) => sparing.begin_anew(),
+                    Missed::TurnedAway(_) => sparing.back_off(),
+                };
                 tracing::debug!(%at, ?pause, "discovery is asked again later");
                 sleep(pause).await;
             }
@@ -232,6 +266,22 @@
         }
     }
 
+    #[test]
+    fn a_broken_watch_is_begun_anew_before_its_news_count_as_told_and_the_next_time_sparingly() {
+        let mut all = Vec::new();
+        for seed in 0..300 {
+            let mut sparing = Sparing::new(300, seed);
+            let first = sparing.begin_anew();
+            // Told 2 s after the wait, heeded 500 ms later.
+            assert!(GRACE + first <= Duration::from_millis(1_600), "{first:?}");
+            all.push((first, sparing.begin_anew()));
+        }
+        let at_once = all.iter().filter(|a| a.0 < Duration::from_millis(50)).count();
+        assert!(at_once < 60, "{at_once} of 300 together");
+        let mean = all.iter().map(|a| a.1.as_secs_f64()).sum::<f64>() / 300.0;
+        assert!(mean > 4.0, "they go on every {mean} s");
+    }
+
     #[test]
     fn watches_of_a_fleet_wait_longer_and_end_apart() {
         assert_eq!(Sparing::new(3, 1).wait(), WAIT);
