Give a message that its endpoint can't read up after one call

Cause: 400 and 413 read as "not sent", so that the message was called for again until its attempts were used up, and handed back to come again. The protocol answers 400 to what no client handed in in this form: no call fares better.

Change: an outcome of its own (`Malformed`), which proves that nothing ran and ends the message with a notice. In a call with several messages it stays "not sent", as one of them may be the cause.

Measured: the test of it fails without the change (it is called for eight times); all tests pass.

--- a/src/api.rs
+++ b/src/api.rs
@@ -152,12 +152,21 @@
     ConnectionLost,
     CalledOff,
     NotSent,
+    /// The endpoint can't take such a message: it never ran, and no further call would fare better.
+    Malformed,
 }
 
 impl Outcome {
     /// It proves that the attempt had no effect.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::TurnedAway | Outcome::NoConnection | Outcome::Crowded | Outcome::NotSent)
+        matches!(
+            self,
+            Outcome::TurnedAway
+                | Outcome::NoConnection
+                | Outcome::Crowded
+                | Outcome::NotSent
+                | Outcome::Malformed
+        )
     }
 
     /// The attempt may run on after this outcome.
--- a/src/bin/nickelshed/client.rs
+++ b/src/bin/nickelshed/client.rs
@@ -766,7 +766,8 @@
         503 if headers.get("x-line-busy").is_some_and(|v| v.as_bytes() == b"1") => (Outcome::NotSent, false),
         503 => (Outcome::TurnedAway, false),
         410 => (Outcome::NotSent, true),
-        400 | 413 | 504 => (Outcome::NotSent, false),
+        504 => (Outcome::NotSent, false),
+        400 | 413 => (Outcome::Malformed, false),
         _ => (Outcome::ServerError, false),
     }
 }
@@ -780,7 +781,13 @@
     let states: Option<HashMap<String, String>> =
         list.map(|l| l.iter().filter_map(|v| Some((text(v, "id")?, text(v, "state")?))).collect());
     let state = |m: &Member| {
-        let Some(states) = &states else { return outcome(answer.status, &answer.headers) };
+        let Some(states) = &states else {
+            return match outcome(answer.status, &answer.headers) {
+                // One of several may be what can't be read: the others are not given up for it.
+                (Outcome::Malformed, done) if members.len() > 1 => (Outcome::NotSent, done),
+                end => end,
+            };
+        };
         match states.get(&m.taken.trace).map(String::as_str) {
             Some("done") => (Outcome::Served, true),
             Some("busy") => (Outcome::TurnedAway, false),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -534,7 +534,11 @@
             let took = if e.outcome == Outcome::Served { e.took.max(0) } else { class.aim };
             if !matches!(
                 e.outcome,
-                Outcome::NotSent | Outcome::CalledOff | Outcome::NoConnection | Outcome::Crowded
+                Outcome::NotSent
+                    | Outcome::CalledOff
+                    | Outcome::NoConnection
+                    | Outcome::Crowded
+                    | Outcome::Malformed
             ) {
                 let cells = dest.cells.len() / self.cfg.classes.len();
                 dest.cells[message.class * cells + level].book(now, took as f64);
@@ -578,6 +582,9 @@
         }
         if over {
             self.close(e.id);
+        } else if e.outcome == Outcome::Malformed {
+            out.push(Action::Fail { id: e.id });
+            self.close(e.id);
         } else if self.messages.get(&e.id).is_some_and(|m| !m.out()) {
             self.hold(e.id);
             self.end_if_hopeless(e.id, out);
@@ -691,7 +698,7 @@
                 place.avoid_until = now + SECOND;
                 true
             }
-            Outcome::CalledOff => false,
+            Outcome::CalledOff | Outcome::Malformed => false,
             Outcome::NotSent => {
                 route.not_before = now + 4 * self.cfg.tick;
                 false
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -153,6 +153,16 @@
     }
 }
 
+#[test]
+fn a_message_that_its_endpoint_cannot_read_is_given_up_after_one_call() {
+    let endpoint = Peer::new(|r| if r.id() == "m" { answer("400 Bad", "", "") } else { ok() });
+    let (discovery, node) = one_endpoint(&endpoint);
+    assert_eq!(node.hand_in("alert", "m", 7, 16_000, b"x"), 202);
+    assert_eq!(discovery.wait_notice("m")["outcome"], "given_up");
+    settle(&node, &endpoint);
+    assert_eq!(endpoint.wait_for("m", 1).len(), 1);
+}
+
 #[test]
 fn a_withdrawn_message_is_over_without_a_notice() {
     one_call_ends_it_for_good(&first_then_ok(|| answer("410 Gone", "", "")), "alert");
