Close clients' connections with a lingering close, and the door with its backlog served

Cause, by reading and then by tests on real sockets: at a shutdown idle connections were ended by the HTTP library's graceful shutdown, which drops one whose next request it has read in part; closing over unread bytes reset the connection under an answer (413 to a body still on its way); after SIGTERM the accept loop left at the first chance though connections waited in its backlog, while a second descriptor of the listener kept the door open to the end of the process, so that who came later was neither served nor refused; and an accept loop without places did not hear of the shutdown at all. The process could end between the core's end and the last answers.

Change: each connection ends by the server's own hand. One that has begun a request gets its answer, with Connection: close, within the usual patience. The backlog is taken when the door closes, and the listener is then closed for good. The process waits, up to 3.5 s after SIGTERM, for answers that are still owed. A lingering connection loses its place first.

Ruled out: that a resting connection's end lets a crossing request be acted on (test passes before and after).

--- a/src/bin/nickelshed/main.rs
+++ b/src/bin/nickelshed/main.rs
@@ -7,6 +7,7 @@
 mod handover;
 mod journal;
 mod learned;
+mod linger;
 mod maint;
 mod notices;
 mod owner;
@@ -23,7 +24,7 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{spawn_local, LocalSet};
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// After SIGTERM: how long new connections are still taken, when nothing new is begun any more, and when the
 /// process ends whatever is still out. What is left then is in the journal.
@@ -31,6 +32,8 @@
 const CLIENTS_GONE: Duration = Duration::from_millis(1_200);
 const BEGIN_ON: Duration = Duration::from_millis(2_600);
 const END: Duration = Duration::from_millis(3_300);
+/// Until then requests that were read may still get their answer; SIGKILL comes 3.7 s after SIGTERM.
+const LAST_ANSWERS: Duration = Duration::from_millis(3_500);
 /// Descriptors that neither clients nor calls use.
 const OWN_SOCKETS: usize = 24;
 /// Calls on the second address that wait for the core: no more can be open.
@@ -235,6 +238,7 @@
     sleep(ACCEPT_ON).await;
     let _ = change.send(server::Phase::Closing);
     let _ = accepting.await;
+    server.close(listener);
     let gone = async {
         while server.open.get() > 0 {
             sleep(Duration::from_millis(10)).await;
@@ -242,6 +246,13 @@
     };
     let _ = timeout(CLIENTS_GONE - ACCEPT_ON, gone).await;
     let _ = core_in.send(core::Input::Wind(told + BEGIN_ON)).await;
-    let _ = timeout((told + END).saturating_duration_since(Instant::now()), core_in.closed()).await;
+    let _ = timeout_at(told + END, core_in.closed()).await;
+    // What the core did not take any more is refused; that answer still has to be written.
+    let answered = async {
+        while server.owes_answers() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let _ = timeout_at(told + LAST_ANSWERS, answered).await;
     Ok(End::Told)
 }
--- a/src/bin/nickelshed/server.rs
+++ b/src/bin/nickelshed/server.rs
@@ -1,10 +1,12 @@
 //! Clients in: takes requests, checks their form, and hands them to the core.
 use crate::client::MAX_BODY;
 use crate::core::{Input, Reply};
+use crate::linger;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderValue, ALLOW, CONNECTION, HOST, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::server::conn::http1::{Builder, Parts};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -14,17 +16,18 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::io::{self, Cursor};
 use std::os::fd::OwnedFd;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{join, AsyncRead, AsyncReadExt, ReadBuf};
-use tokio::net::tcp::OwnedReadHalf;
+use tokio::io::{join, AsyncRead, AsyncReadExt, Chain, Join, ReadBuf};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch, Notify};
-use tokio::time::{sleep, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
 /// How long a connection may take to bring its first whole request, and a later request to bring its body:
 /// strangers are owed an error or a close within 3 s.
@@ -52,14 +55,34 @@
     head: RefCell<Vec<u8>>,
     /// Requests without their answer.
     busy: Cell<u32>,
-    /// It was told to end.
+    /// Its next answer is its last.
     ending: Cell<bool>,
+    /// Nothing that comes on it is acted on any more.
+    lingering: Cell<bool>,
+    /// What it was when its place was given to another.
+    evicted: Cell<Option<Spare>>,
     end: Notify,
     /// A request has got its answer.
     free: Notify,
 }
 
 impl Link {
+    fn new(used: Instant, unfinished: bool) -> Link {
+        Link {
+            used: Cell::new(used),
+            heard: Cell::new(Instant::now()),
+            unfinished: Cell::new(unfinished),
+            whole: Cell::default(),
+            head: RefCell::default(),
+            busy: Cell::default(),
+            ending: Cell::default(),
+            lingering: Cell::default(),
+            evicted: Cell::default(),
+            end: Notify::new(),
+            free: Notify::new(),
+        }
+    }
+
     /// Notes what was read of the next request, up to the end of its headers.
     fn note(&self, read: &[u8]) {
         let mut head = self.head.borrow_mut();
@@ -82,15 +105,35 @@
         head.ends_with(HEAD_END) && !head.split(|&b| b == b'\n').any(length)
     }
 
-    /// Whether it may lose its place to another client, and which one is to lose it first: one that stands idle
-    /// costs its client nothing; then the one that leaves its request unfinished and has been silent longest.
-    fn spare(&self) -> Option<(bool, Instant)> {
-        if self.whole.get() || self.ending.get() {
+    /// Whether it may lose its place to another client, and which one is to lose it first: one that lingers, or
+    /// stands idle, costs its client nothing; then the one that leaves its request unfinished and has been silent
+    /// longest.
+    fn spare(&self) -> Option<(Spare, Instant)> {
+        if self.evicted.get().is_some() {
             return None;
         }
-        let unfinished = self.unfinished.get();
-        (unfinished || self.used.get().elapsed() >= SPARE).then_some((unfinished, self.heard.get()))
+        let spare = match (self.lingering.get(), self.whole.get(), self.unfinished.get()) {
+            (true, ..) => Spare::Lingering,
+            (_, true, _) => return None,
+            (.., true) => Spare::Unfinished,
+            _ if self.used.get().elapsed() < SPARE => return None,
+            _ => Spare::Idle,
+        };
+        Some((spare, self.heard.get()))
     }
+
+    /// It stands between two requests, and not a byte of the next one was read.
+    fn rests(&self) -> bool {
+        self.busy.get() == 0 && !self.unfinished.get()
+    }
+}
+
+/// What a connection is that may lose its place, the first to lose it first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Spare {
+    Lingering,
+    Idle,
+    Unfinished,
 }
 
 /// Notes when something was read.
@@ -171,8 +214,8 @@
     fn make_place(&self) -> bool {
         let links = self.links.borrow();
         let first = links.values().filter_map(|l| Some((l.spare()?, l))).min_by_key(|(rank, _)| *rank);
-        if let Some((_, link)) = first {
-            link.ending.set(true);
+        if let Some(((spare, _), link)) = first {
+            link.evicted.set(Some(spare));
             link.end.notify_one();
         }
         first.is_some()
@@ -187,12 +230,11 @@
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         let mut phase = self.phase.clone();
         loop {
-            while self.open.get() >= self.most + self.turned_away.max(1) {
-                self.closed.notified().await;
-            }
+            let full = self.open.get() >= self.most + self.turned_away.max(1);
             let stream = tokio::select! {
                 _ = phase.wait_for(|p| *p != Phase::Serving) => return,
-                accepted = listener.accept() => match accepted {
+                () = self.closed.notified(), if full => continue,
+                accepted = listener.accept(), if !full => match accepted {
                     Ok((stream, _)) => stream,
                     Err(error) => {
                         // Out of descriptors, say: the sender goes on with those that it has.
@@ -202,11 +244,33 @@
                     }
                 },
             };
-            let full = self.open.get() >= self.most && !self.make_place();
-            self.admit(Moved { stream, read: Bytes::new(), whole: false, stood: Duration::ZERO }, full);
+            self.admit_new(stream);
         }
     }
 
+    /// Once `accept` has returned for good: takes what had connected by then, as far as there are places, and
+    /// closes the listener. Who comes later is refused at once instead of waiting for the process to end.
+    pub fn close(self: &Rc<Self>, listener: std::net::TcpListener) {
+        while self.open.get() < self.most + self.turned_away.max(1) {
+            let accepted = listener.accept().and_then(|(s, _)| s.set_nonblocking(true).map(|()| s));
+            match accepted.and_then(TcpStream::from_std) {
+                Ok(stream) => self.admit_new(stream),
+                // Nobody waits, or nobody can be taken.
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// Whether a request was read, be it in part, that has no answer yet.
+    pub fn owes_answers(&self) -> bool {
+        self.links.borrow().values().any(|l| !l.lingering.get() && !l.head.borrow().is_empty())
+    }
+
+    fn admit_new(self: &Rc<Self>, stream: TcpStream) {
+        let full = self.open.get() >= self.most && !self.make_place();
+        self.admit(Moved { stream, read: Bytes::new(), whole: false, stood: Duration::ZERO }, full);
+    }
+
     /// Goes on with a connection of the process before.
     pub fn adopt(self: &Rc<Self>, socket: OwnedFd, read: Bytes, whole: bool, stood: Duration) {
         match TcpStream::from_std(socket.into()) {
@@ -219,17 +283,8 @@
         self.open.set(self.open.get() + 1);
         let server = self.clone();
         let now = Instant::now();
-        let link = Rc::new(Link {
-            used: Cell::new(now.checked_sub(client.stood).unwrap_or(now)),
-            heard: Cell::new(now),
-            unfinished: Cell::new(!client.whole || !client.read.is_empty()),
-            whole: Cell::default(),
-            head: RefCell::default(),
-            busy: Cell::default(),
-            ending: Cell::default(),
-            end: Notify::new(),
-            free: Notify::new(),
-        });
+        let used = now.checked_sub(client.stood).unwrap_or(now);
+        let link = Rc::new(Link::new(used, !client.whole || !client.read.is_empty()));
         link.note(&client.read);
         let number = self.next_link.replace(self.next_link.get() + 1);
         self.links.borrow_mut().insert(number, link.clone());
@@ -252,12 +307,12 @@
         let whole = Cell::new(whole);
         let service = service_fn(|request| {
             let whole = &whole;
-            async move {
+            Box::pin(async move {
                 link.busy.set(link.busy.get() + 1);
                 let since = if whole.replace(true) { Instant::now() } else { accepted };
                 let mut response =
                     if full { refused(None) } else { self.answer(request, since + PATIENCE, link).await };
-                if full || self.scarce() {
+                if full || self.scarce() || link.ending.get() {
                     response = last(response);
                 }
                 link.busy.set(link.busy.get() - 1);
@@ -268,56 +323,76 @@
                 link.used.set(Instant::now());
                 link.free.notify_one();
                 Ok::<_, Infallible>(response)
-            }
+            })
         });
         // What the process before had read of it comes first.
         let (from, to) = stream.into_split();
         let from = Heard { from, link: link.clone() };
         let io = TokioIo::new(join(Cursor::new(read).chain(from), to));
-        let mut connection = hyper::server::conn::http1::Builder::new().serve_connection(io, service);
-        let (mut ending, mut moving) = (false, false);
-        let mut idle = PATIENCE;
+        let mut connection = Builder::new().serve_connection(io, service);
+        let mut moving = false;
+        // When it was told to end in the middle of a request.
+        let mut ending: Option<Instant> = None;
+        let stream = |parts: Parts<_, _>| -> (Option<TcpStream>, Bytes) {
+            let io: TokioIo<Join<Chain<Cursor<Bytes>, Heard>, OwnedWriteHalf>> = parts.io;
+            let (from, to) = io.into_inner().into_inner();
+            let (ahead, from) = from.into_inner();
+            let unread = ahead.get_ref().get(ahead.position() as usize..).unwrap_or_default();
+            let read = [&parts.read_buf, unread].concat().into();
+            (from.from.reunite(to).ok(), read)
+        };
         loop {
             if moving && link.busy.get() == 0 {
-                let parts = connection.into_parts();
-                let (from, to) = parts.io.into_inner().into_inner();
-                let (ahead, from) = from.into_inner();
-                let stream = from.from.reunite(to).ok()?;
-                let unread = ahead.get_ref().get(ahead.position() as usize..).unwrap_or_default();
-                let read = [&parts.read_buf, unread].concat().into();
-                return Some(Moved { stream, read, whole: whole.get(), stood: link.used.get().elapsed() });
+                let (stream, read) = stream(connection.into_parts());
+                return Some(Moved {
+                    stream: stream?,
+                    read,
+                    whole: whole.get(),
+                    stood: link.used.get().elapsed(),
+                });
+            }
+            if ending.is_some() && link.rests() {
+                break;
             }
+            let until = match ending {
+                _ if !whole.get() => link.used.get() + PATIENCE,
+                Some(told) => told + PATIENCE,
+                None => link.used.get() + IDLE,
+            };
             tokio::select! {
-                // First, so that an answer is written before its connection passes on.
+                // First, so that an answer is written before its connection passes on or ends.
                 biased;
-                _ = &mut connection => return None,
+                _ = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break,
                 () = link.free.notified() => {}
-                changed = phase.wait_for(|p| *p != Phase::Serving), if !ending && !moving => {
+                changed = phase.wait_for(|p| *p != Phase::Serving), if ending.is_none() && !moving => {
                     moving = changed.is_ok_and(|p| *p == Phase::Moving) && !full;
                     if !moving {
-                        ending = true;
-                        Pin::new(&mut connection).graceful_shutdown();
-                    }
-                }
-                () = link.end.notified(), if !ending && !moving => {
-                    // A request that has come whole meanwhile gets its answer first.
-                    if !link.whole.get() && link.unfinished.get() {
-                        return None;
+                        ending = Some(Instant::now());
+                        link.ending.set(true);
                     }
-                    ending = true;
-                    Pin::new(&mut connection).graceful_shutdown();
                 }
-                () = sleep(idle) => {
-                    // Also one that opens a request and never ends it.
-                    let bound = if whole.get() { IDLE } else { PATIENCE };
-                    let stood = link.used.get().elapsed();
-                    if link.busy.get() == 0 && stood >= bound {
+                () = link.end.notified() => {
+                    // Its place is needed. What has come meanwhile on one that rested, or whole, is answered first.
+                    let unfinished = link.evicted.get() == Some(Spare::Unfinished) && !link.whole.get();
+                    if unfinished || link.rests() {
                         return None;
                     }
-                    idle = bound.saturating_sub(stood).max(Duration::from_secs(1));
+                    ending = ending.or(Some(Instant::now()));
+                    link.ending.set(true);
                 }
+                // Also one that opens a request and never ends it.
+                () = sleep_until(until), if link.busy.get() == 0 => if link.busy.get() == 0 { break },
             }
         }
+        // From here on nothing is read as a request: it could no longer be answered.
+        link.lingering.set(true);
+        if let (Some(stream), _) = stream(connection.into_parts()) {
+            tokio::select! {
+                () = linger::close(stream) => {}
+                () = link.end.notified() => {}
+            }
+        }
+        None
     }
 
     async fn answer(
@@ -461,31 +536,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn of_what_a_connection_brings_only_the_headers_are_kept() {
-        let now = Instant::now();
-        let link = Link {
-            used: Cell::new(now),
-            heard: Cell::new(now),
-            unfinished: Cell::default(),
-            whole: Cell::default(),
-            head: RefCell::default(),
-            busy: Cell::default(),
-            ending: Cell::default(),
-            end: Notify::new(),
-            free: Notify::new(),
-        };
-        link.note(b"POST /a HTTP/1.1\r\nHost: x\r\n");
-        assert!(!link.tells_no_length(), "they have not come whole");
-        link.note(b"\r\nContent-Length: 1");
-        link.note(&[b'x'; 4_000]);
-        assert_eq!(*link.head.borrow(), b"POST /a HTTP/1.1\r\nHost: x\r\n\r\n");
-        assert!(link.tells_no_length());
-        link.head.take();
-        link.note(b"POST /a HTTP/1.1\r\ncontent-length : 1\r\n\r\n");
-        assert!(!link.tells_no_length());
-    }
-}
+mod tests;
--- /dev/null
+++ b/tests/crossings.rs
@@ -0,0 +1,157 @@
+//! What crosses a close, a shutdown or a silence on real sockets. Each crossing is forced: by a peer that is held,
+//! by bytes that are written before the other side may go on, or by a process that is paused.
+mod peers;
+use peers::*;
+use serde_json::json;
+use std::io::{BufReader, Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+fn connect(node: &Node) -> TcpStream {
+    let stream = TcpStream::connect(node.address).unwrap();
+    stream.set_read_timeout(Some(BOUND)).unwrap();
+    stream
+}
+
+/// A connection on which one request was answered and nothing is under way.
+fn resting(node: &Node) -> TcpStream {
+    let mut stream = connect(node);
+    stream.write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+    let answer = read_message(&mut BufReader::new(stream.try_clone().unwrap()), 0).unwrap();
+    assert!(answer.first.contains(" 200 "), "{}", answer.first);
+    stream
+}
+
+fn answer_on(stream: &TcpStream) -> Option<Request> {
+    read_message(&mut BufReader::new(stream.try_clone().unwrap()), 0)
+}
+
+/// The sender has ended its side, and has not reset the connection.
+fn ended(mut stream: &TcpStream) {
+    let mut rest = Vec::new();
+    let read = stream.read_to_end(&mut rest);
+    assert!(read.is_ok(), "{read:?}");
+    assert!(rest.is_empty(), "{}", String::from_utf8_lossy(&rest));
+}
+
+fn one_endpoint(endpoint: &Peer) -> (Discovery, Node) {
+    let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7)]));
+    let node = Node::start(&discovery);
+    (discovery, node)
+}
+
+/// One whose only call is never answered: a sender that is told to end has it out until its time is up.
+fn held() -> Peer {
+    Peer::new(|_| Reply::Hang)
+}
+
+#[test]
+fn a_request_half_read_at_the_shutdown_is_answered_while_who_comes_later_is_refused() {
+    let endpoint = held();
+    let (_discovery, mut node) = one_endpoint(&endpoint);
+    assert_eq!(node.hand_in("order", "out", 7, 16_000, b"x"), 202);
+    endpoint.wait_for("out", 1);
+    // One on a connection that rested, and one on a connection's first request.
+    let halves = [resting(&node), connect(&node)].map(|mut stream| {
+        let request =
+            message("alert", &format!("half-{:?}", stream.local_addr().unwrap()), 7, 16_000, b"body");
+        let (first, rest) = request.split_at(request.len() / 2);
+        stream.write_all(first).unwrap();
+        (stream, rest.to_vec())
+    });
+    // Whatever was written before is read once this was answered.
+    let rests = resting(&node);
+    node.terminate();
+    ended(&rests);
+    node.until("the door is closed", || TcpStream::connect(node.address).is_err());
+    for (mut stream, rest) in halves {
+        stream.write_all(&rest).unwrap();
+        let answer = answer_on(&stream).expect("an answer to what was read in part");
+        assert!(answer.first.contains(" 202 ") || answer.first.contains(" 503 "), "{}", answer.first);
+        assert_eq!(
+            answer.headers.get("connection").map(String::as_str),
+            Some("close"),
+            "{:?}",
+            answer.headers
+        );
+        ended(&stream);
+    }
+    assert!(node.wait_exit().success(), "{}", node.log());
+}
+
+#[test]
+fn a_request_that_crosses_the_end_of_a_resting_connection_is_not_acted_on() {
+    let endpoint = Peer::new(|_| ok());
+    let (discovery, mut node) = one_endpoint(&endpoint);
+    let mut rests = resting(&node);
+    node.terminate();
+    ended(&rests);
+    // Its client had not read the end yet. What it gets is the end and no answer, so it asks elsewhere.
+    rests.write_all(&message("alert", "crossed", 7, 16_000, b"x")).unwrap();
+    assert!(node.wait_exit().success());
+    assert!(answer_on(&rests).is_none());
+    node.restart();
+    assert_eq!(node.hand_in("alert", "settle", 7, 16_000, b"."), 202);
+    endpoint.wait_for("settle", 1);
+    assert!(endpoint.seen().iter().all(|r| r.id() != "crossed"));
+    assert!(discovery.notices().is_empty());
+}
+
+#[test]
+fn what_had_connected_when_the_door_closes_is_answered() {
+    let endpoint = held();
+    let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7)]));
+    let control = free_address();
+    let mut node = Node::with(&discovery, json!([]), |c| c["control"] = json!(control.to_string()));
+    assert_eq!(node.hand_in("order", "out", 7, 16_000, b"x"), 202);
+    endpoint.wait_for("out", 1);
+    node.terminate();
+    node.until("the sender knows", || call_at(control, "GET /healthcheck") == Some(503));
+    // Paused over the moment in which it stops accepting: both are due when it goes on.
+    node.pause();
+    let waiting: Vec<TcpStream> = (0..12)
+        .map(|i| {
+            let mut stream = connect(&node);
+            stream.write_all(&message("alert", &format!("waits-{i}"), 7, 16_000, b"x")).unwrap();
+            stream
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(700));
+    node.go_on();
+    for stream in &waiting {
+        let answer = answer_on(stream).expect("an answer");
+        assert!(answer.first.contains(" 202 ") || answer.first.contains(" 503 "), "{}", answer.first);
+    }
+    assert!(node.wait_exit().success(), "{}", node.log());
+}
+
+#[test]
+fn an_answer_reaches_a_client_that_had_not_sent_all_when_it_was_given() {
+    let endpoint = Peer::new(|_| ok());
+    let (_discovery, node) = one_endpoint(&endpoint);
+    let mut stream = connect(&node);
+    let size = 512 << 10;
+    let head = format!("POST /alert HTTP/1.1\r\nHost: x\r\nContent-Length: {size}\r\n\r\n");
+    stream.write_all(head.as_bytes()).unwrap();
+    // The answer has come before the body goes out, and is read after it.
+    assert_eq!(stream.peek(&mut [0]).unwrap(), 1);
+    for part in vec![b'x'; size].chunks(64 << 10) {
+        stream.write_all(part).expect("the connection is not reset");
+    }
+    let answer = answer_on(&stream).expect("an answer");
+    assert!(answer.first.contains(" 413 "), "{}", answer.first);
+    ended(&stream);
+}
+
+#[test]
+fn a_flood_of_what_nobody_wants_is_cut_off() {
+    let endpoint = Peer::new(|_| ok());
+    let (_discovery, node) = one_endpoint(&endpoint);
+    let mut stream = connect(&node);
+    stream.write_all(b"POST /alert HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999\r\n\r\n").unwrap();
+    let chunk = vec![b'x'; 64 << 10];
+    let cut_off = (0..4_096).any(|_| stream.write_all(&chunk).is_err());
+    assert!(cut_off, "256 MB were read");
+    assert_eq!(node.hand_in("alert", "settle", 7, 16_000, b"."), 202);
+    endpoint.wait_for("settle", 1);
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -509,6 +509,15 @@
         self.signal("-TERM");
     }
 
+    /// Stops the process where it is, until `go_on`.
+    pub fn pause(&self) {
+        self.signal("-STOP");
+    }
+
+    pub fn go_on(&self) {
+        self.signal("-CONT");
+    }
+
     pub fn hang_up(&self) {
         self.signal("-HUP");
     }
