Ask discovery again within 6 s of its return, whatever failed before

The program before let a second failure in a row pause up to 6 s and later ones up to 100 s in a large fleet, and went on after a call that was turned away with a watch that may wait 25 to 50 s (read at Sparing::new, back_off and follow_at; seen in the test below: ten calls did not come within 30 s). A list of changes that came where the whole one was asked for was asked for again every 100 ms for ever.

Change: back-off with full jitter (Sparing is Backoff now), its bound capped at 2.5 s = 6 s - 2.5 s for the call that may have to be given up first - 1 s for the call that brings the news. After any failure the next call need not wait. A kept connection that had ended since the last answer is replaced at once and is no failure. SIGHUP's new address starts without the old one's failures. Changes for a list that is not held are an answer that can't be used.

--- a/src/bin/nickelshed/client.rs
+++ b/src/bin/nickelshed/client.rs
@@ -162,7 +162,10 @@
         dial: Duration,
     ) -> io::Result<Connection> {
         match kept.take().filter(Connection::is_open) {
-            Some(link) => Ok(link),
+            Some(mut link) => {
+                link.stood = Some(link.idle_since.elapsed());
+                Ok(link)
+            }
             None => Connection::open(at, dial).await,
         }
     }
@@ -173,6 +176,11 @@
         let _ = (&mut self.task).await;
     }
 
+    /// It has carried an exchange before the one under way.
+    pub fn is_kept(&self) -> bool {
+        self.stood.is_some()
+    }
+
     pub fn is_open(&self) -> bool {
         self.sender.is_ready() && !self.task.is_finished()
     }
--- a/src/bin/nickelshed/main.rs
+++ b/src/bin/nickelshed/main.rs
@@ -151,9 +151,9 @@
     let client = Rc::new(client);
     spawn_local(client.clone().keep_pool());
     let version = config.known.version();
-    let sparing = discovery::Sparing::new(settings.n_instances, config.seed);
+    let backoff = discovery::Backoff::new(settings.n_instances, config.seed);
     let (move_to, discovery) = watch::channel(config.discovery);
-    let following = spawn_local(discovery::follow(discovery.clone(), core_in.clone(), sparing, version));
+    let following = spawn_local(discovery::follow(discovery.clone(), core_in.clone(), backoff, version));
     let noticing = spawn_local(notices::run(discovery, notices, core_in.clone()));
     let move_to = Rc::new(move_to);
     let reloaded = move_to.clone();
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -2,9 +2,10 @@
 //! by bytes that are written before the other side may go on, or by a process that is paused.
 mod peers;
 use peers::*;
-use serde_json::json;
+use serde_json::{json, Value};
 use std::io::{BufReader, Read, Write};
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 fn connect(node: &Node) -> TcpStream {
@@ -155,3 +156,60 @@
     assert_eq!(node.hand_in("alert", "settle", 7, 16_000, b"."), 202);
     endpoint.wait_for("settle", 1);
 }
+
+/// Calls for lists, in their order.
+fn lists(seen: &[Request]) -> Vec<Request> {
+    seen.iter().filter(|r| r.first.contains("/v1/servers")).cloned().collect()
+}
+
+fn large_fleet(config: &mut Value) {
+    config["settings"]["NInstances"] = json!(300);
+    config["known"]["generation"] = json!(1);
+}
+
+#[test]
+fn after_calls_to_discovery_that_failed_news_are_heard_before_they_count_as_told() {
+    let endpoint = Peer::new(|_| ok());
+    let known = json!([ready("e-1", endpoint.address, 7)]);
+    let discovery = Discovery::new(known.clone());
+    // Each way to fail, in a row: turned away, broken off in the middle of a list, torn, closed without a word.
+    let fail = |n: usize| match n % 4 {
+        0 => answer("503 Busy", "", ""),
+        1 => Reply::Last("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"generation\"".into()),
+        2 => answer("200 OK", "", "{\"generation\": 2, \"res"),
+        _ => Reply::Close,
+    };
+    let failed = AtomicUsize::new(0);
+    discovery.peer.also(move |r| {
+        let watch = r.first.contains("/v1/servers") && !r.first.contains("wait=0 ");
+        let count = failed.load(Ordering::SeqCst);
+        // From the first watch on.
+        if !(watch || (1..8).contains(&count)) || count >= 8 || r.first.starts_with("POST") {
+            return None;
+        }
+        failed.fetch_add(1, Ordering::SeqCst);
+        Some(fail(count))
+    });
+    let _node = Node::with(&discovery, known, large_fleet);
+    let seen = discovery.peer.wait("ten calls for lists", |seen| lists(seen).len() >= 10);
+    let calls = lists(&seen);
+    for (i, pair) in calls[1..].windows(2).enumerate() {
+        // Told 6 s later; 2.5 s of them may go on a call that is given up, so what is left is for the pause.
+        let pause = pair[1].at - pair[0].at;
+        assert!(pause <= Duration::from_millis(3_400), "{i}: {pause:?}");
+        assert!(pair[1].first.contains("wait=0 "), "{i}: asked for, not waited for: {}", pair[1].first);
+    }
+}
+
+#[test]
+fn changes_that_come_where_the_whole_list_is_asked_for_are_not_asked_for_in_a_rush() {
+    let discovery = Discovery::new(json!([]));
+    discovery.peer.also(|r| {
+        let whole = r.first.contains("/v1/servers ");
+        whole.then(|| answer("200 OK", "", r#"{"generation": 3, "reset": false, "instances": []}"#))
+    });
+    let _node = Node::with(&discovery, json!([]), large_fleet);
+    let calls = lists(&discovery.peer.wait("seven calls for lists", |seen| lists(seen).len() >= 7));
+    let mean = (calls[6].at - calls[0].at) / 6;
+    assert!(mean > Duration::from_millis(300), "one each {mean:?}");
+}
