Repeat a notice after 100 ms on another connection

Cause, by reading: a post of notices waited 1 s for its answer and 100 ms more before it was repeated, while a notice counts 300 ms after its message's time at the latest. One that met a connection which had fallen silent, or which the platform had just ended, came too late and its message was lost.

Change: the platform answers at once, so a post may take 100 ms, then twice as long each time up to 1 s; the first repeat goes out without a pause and on a new connection. A notice that comes twice does no harm.

--- a/src/bin/nickelshed/notices.rs
+++ b/src/bin/nickelshed/notices.rs
@@ -16,8 +16,12 @@
 
 /// Notices in one post at most: with the longest ids that are taken on the body stays under 64 KiB.
 const MOST: usize = 100;
-/// How long the platform may take to answer, and the pause before a post is repeated.
-const ANSWER: Duration = Duration::from_secs(1);
+/// How long the platform may take to answer: it does at once, and a notice counts up to 300 ms after its message's
+/// time. So a post that meets a connection which has fallen silent, or had just ended, is soon repeated on another
+/// one; each further try may take twice as long, as a platform that is slow is not helped by more posts.
+const ANSWER: Duration = Duration::from_millis(100);
+const LONGEST: Duration = Duration::from_secs(1);
+/// The pause before a post is repeated, but for the first time.
 const PAUSE: Duration = Duration::from_millis(100);
 
 fn line(notice: &Notice) -> String {
@@ -32,7 +36,7 @@
 }
 
 async fn post(connection: &mut Option<Connection>, at: SocketAddr, body: &str) -> Result<(), String> {
-    let kept = Connection::kept_or_new(connection, at, ANSWER).await;
+    let kept = Connection::kept_or_new(connection, at, LONGEST).await;
     let mut link = kept.map_err(|e| e.to_string())?;
     let headers = [("content-type", "application/x-ndjson")];
     let request = client::request("POST", "/reports", at, &headers, body.to_string().into());
@@ -58,23 +62,24 @@
     let mut batch = Vec::new();
     while notices.recv_many(&mut batch, MOST).await > 0 {
         let body: String = batch.iter().map(line).collect();
+        let mut allowed = ANSWER;
         loop {
             if at.has_changed().unwrap_or(false) {
                 connection = None;
             }
             let address = *at.borrow_and_update();
-            match timeout(ANSWER, post(&mut connection, address, &body))
-                .await
-                .unwrap_or(Err("is silent".into()))
-            {
-                Ok(()) => break,
-                Err(error) => {
-                    if !std::mem::replace(&mut failing, true) {
-                        tracing::warn!(%error, notices = batch.len(), "the platform takes no notices");
-                    }
-                    sleep(PAUSE).await;
-                }
+            let posted = timeout(allowed, post(&mut connection, address, &body)).await;
+            let Err(error) = posted.unwrap_or(Err("is silent".into())) else { break };
+            let first = allowed == ANSWER;
+            allowed = (2 * allowed).min(LONGEST);
+            if first {
+                tracing::debug!(%error, notices = batch.len(), "a post of notices is repeated");
+                continue;
             }
+            if !std::mem::replace(&mut failing, true) {
+                tracing::warn!(%error, notices = batch.len(), "the platform takes no notices");
+            }
+            sleep(PAUSE).await;
         }
         if std::mem::take(&mut failing) {
             tracing::info!("the platform takes notices again");
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -157,6 +157,27 @@
     endpoint.wait_for("settle", 1);
 }
 
+#[test]
+fn a_notice_whose_connection_has_fallen_silent_is_told_in_time_on_another_one() {
+    let endpoint = Peer::new(|_| ok());
+    let (discovery, node) = one_endpoint(&endpoint);
+    assert_eq!(node.hand_in("order", "before", 8, 300, b"x"), 202);
+    discovery.wait_notice("before");
+    let posts = |seen: &[Request]| {
+        seen.iter().filter(|r| r.first.starts_with("POST /reports ")).cloned().collect::<Vec<_>>()
+    };
+    let silent = posts(&discovery.peer.seen())[0].connection;
+    discovery.peer.also(move |r| (r.connection == silent).then_some(Reply::Hang));
+    assert_eq!(node.hand_in("order", "after", 8, 300, b"x"), 202);
+    let seen = discovery.peer.wait("the notice to come again", |seen| posts(seen).len() >= 3);
+    let posts = posts(&seen);
+    assert_eq!((posts[1].connection, posts[2].connection == silent), (silent, false));
+    assert_eq!(posts[1].body, posts[2].body);
+    // What counts is 300 ms from the message's time; the half of a second leaves room for a busy machine.
+    let late = posts[2].at - posts[1].at;
+    assert!(late < Duration::from_millis(500), "{late:?}");
+}
+
 /// Calls for lists, in their order.
 fn lists(seen: &[Request]) -> Vec<Request> {
     seen.iter().filter(|r| r.first.contains("/v1/servers")).cloned().collect()
