Take an answer for a 200 only once its first line has come whole

Cause, by reading: of an answer that broke off, or was given up, 13 bytes that began like a 200 counted as delivered, so that the message ended without a notice. The protocol counts a first line with 200; where the line breaks off in the middle (HTTP/1.1 200 O) nothing says that it was written.

Change: the line's end has to be seen. A notice for a message that is over does no harm, and a class that may be repeated is answered as delivered once more.

Test: the row 'half a line' of an_answer_that_cannot_be_read..., in which the program before sent no notice.

--- a/src/bin/nickelshed/client.rs
+++ b/src/bin/nickelshed/client.rs
@@ -41,6 +41,7 @@
 struct FirstLine {
     bytes: [u8; 13],
     length: usize,
+    whole: bool,
 }
 
 impl FirstLine {
@@ -48,11 +49,14 @@
         let length = read.len().min(self.bytes.len() - self.length);
         self.bytes[self.length..][..length].copy_from_slice(&read[..length]);
         self.length += length;
+        self.whole |= read.contains(&b'\n');
     }
 
+    /// Only once it has come whole: what breaks off in the middle of it may not have been meant to be a 200, and
+    /// a message that its endpoint has taken loses nothing by a notice.
     fn says_200(&self) -> bool {
         let [version @ .., minor, b' ', b'2', b'0', b'0', next] = &self.bytes else { return false };
-        version == b"HTTP/1." && minor.is_ascii_digit() && matches!(next, b' ' | b'\r' | b'\n')
+        self.whole && version == b"HTTP/1." && minor.is_ascii_digit() && matches!(next, b' ' | b'\r' | b'\n')
     }
 }
 
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -141,7 +141,8 @@
         assert_eq!(endpoint.wait_for("m", 1).len(), 1, "{row}: delivered, so not sent again");
         assert!(discovery.notices().is_empty(), "{row}");
     }
-    let unreadable: [Row; 2] = [
+    let unreadable: [Row; 3] = [
+        ("half a line", || Reply::Last("HTTP/1.1 200 O".into())),
         ("status", || Reply::Bytes("HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n".into())),
         ("version", || Reply::Bytes("ICY 200 OK\r\nContent-Length: 0\r\n\r\n".into())),
     ];
