Take class, tenant and id beyond ASCII from the headers and the path

A print at the door showed path and X-Qos as raw UTF-8 (/R\xc3\xa9servation); the headers were read by HeaderValue::to_str, which takes visible ASCII alone (server.rs, read_head). Ruled out: the path, which the library passes on; the settings, whose names are read as they stand. Going out, an id or key beyond ASCII would have been left out without a word (client.rs, HeaderValue::from_str).

Change: headers are read as UTF-8 and written as their bytes; the class in the path may also be percent-encoded.

Test: names_beyond_ascii_are_names_as_any_other (tests/sender.rs), 400 on the program before.

--- a/src/bin/nickelshed/client.rs
+++ b/src/bin/nickelshed/client.rs
@@ -226,7 +226,7 @@
     let to = to.to_string();
     for (name, value) in headers.iter().copied().chain([("host", to.as_str())]) {
         // Values come from headers that were read, so they can be written.
-        if let Ok(value) = HeaderValue::from_str(value) {
+        if let Ok(value) = HeaderValue::from_bytes(value.as_bytes()) {
             request.headers_mut().insert(HeaderName::from_static(name), value);
         }
     }
--- a/src/bin/nickelshed/server.rs
+++ b/src/bin/nickelshed/server.rs
@@ -13,6 +13,7 @@
 use leadfold::api::Effect;
 use leadfold::records::{wall_ms, Taken};
 use leadfold::settings::Around;
+use percent_encoding::percent_decode_str;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
@@ -416,8 +417,10 @@
             let get = matches!(head.method, Method::GET | Method::HEAD);
             return if get { plain(StatusCode::OK, "") } else { wrong_method("GET, HEAD") };
         }
+        // A name beyond ASCII comes as it is or percent-encoded.
         let named = path.trim_start_matches('/').split('/').next().unwrap_or_default();
-        let Some(class) = self.around.classes.iter().position(|c| c == named && !c.is_empty()) else {
+        let named = percent_decode_str(named).decode_utf8_lossy();
+        let Some(class) = self.around.classes.iter().position(|c| *c == named && !c.is_empty()) else {
             return plain(StatusCode::NOT_FOUND, "no such class of message");
         };
         if head.method != Method::POST {
@@ -472,7 +475,9 @@
             return Err("Host is missing");
         }
         let text = |name: &str| {
-            headers.get(name).map(|v| v.to_str().map(str::trim).ok().filter(|t| t.len() <= MAX_NAME))
+            let value = headers.get(name)?;
+            let read = std::str::from_utf8(value.as_bytes()).map(str::trim).ok();
+            Some(read.filter(|t| t.len() <= MAX_NAME))
         };
         let name = &self.around.classes[class];
         if text("x-qos") != Some(Some(name.as_str())) {
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -60,6 +60,30 @@
     assert!(discovery.notices().is_empty());
 }
 
+#[test]
+fn names_beyond_ascii_are_names_as_any_other() {
+    let endpoint = Peer::new(|_| ok());
+    let discovery = Discovery::new(json!([instance("e-é", endpoint.address, 7, "Fähre", "Ready")]));
+    let node = Node::with(&discovery, json!([]), |c| {
+        c["settings"]["Services"][0]["Name"] = json!("Änderung-席");
+        c["settings"]["Realms"][0]["Name"] = json!("Hütte");
+        c["settings"]["Kinds"][0] = json!("Fähre");
+    });
+    let plain = |id: &str| {
+        let text = String::from_utf8(message("Änderung-席", id, 7, 16_000, b"x")).unwrap();
+        text.replace("X-Customer: acme", "X-Customer: Hütte")
+    };
+    let encoded = plain("encoded").replacen("/Änderung-席 ", "/%C3%84nderung-%E5%B8%AD ", 1);
+    for (id, request) in [("plain-ø", plain("plain-ø")), ("encoded", encoded)] {
+        let answer = node.ask(request.as_bytes()).expect("an answer");
+        assert!(answer.first.contains(" 202 "), "{id}: {}", answer.first);
+        let call = endpoint.wait_for(id, 1).remove(0);
+        assert_eq!(call.headers["idempotency-key"], format!("key-{id}"));
+    }
+    let other = plain("other").replacen("X-Qos: Änderung-席", "X-Qos: Anderung-席", 1);
+    assert!(node.ask(other.as_bytes()).expect("an answer").first.contains(" 400 "));
+}
+
 #[test]
 fn a_connection_stands_idle_no_longer_than_its_endpoint_was_seen_to_keep_it() {
     // It forgets a connection that has stood longer, and resets what then comes on it.
