--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -234,3 +234,55 @@
     let mean = (calls[6].at - calls[0].at) / 6;
     assert!(mean > Duration::from_millis(300), "one each {mean:?}");
 }
+
+#[test]
+fn clients_that_fill_the_descriptors_leave_those_that_the_sender_needs_itself() {
+    // Calls are out as well, and their endpoints keep them.
+    let endpoints: Vec<Peer> = (0..5).map(|_| held()).collect();
+    let new = Peer::new(|_| ok());
+    let listed: Vec<Value> =
+        (0..).zip(&endpoints).map(|(i, e)| ready(&format!("e-{i}"), e.address, i)).collect();
+    let discovery = Discovery::new(json!(listed));
+    let control = free_address();
+    for sockets in [64, 256] {
+        let node = Node::with(&discovery, json!(listed), |c| {
+            c["limits"]["sockets"] = json!(sockets);
+            c["control"] = json!(control.to_string());
+        });
+        node.limit_descriptors(sockets);
+        discovery.silence();
+        // Idle ones, strangers that send nothing, and some in the middle of a request.
+        let mut crowd = Vec::new();
+        for i in 0..2 * sockets {
+            let Ok(mut stream) = TcpStream::connect(node.address) else { break };
+            let part: &[u8] = match i % 3 {
+                0 => b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n",
+                1 => b"POST /alert HTTP/1.1\r\nHost: x\r\n",
+                _ => b"",
+            };
+            let _ = stream.write_all(part);
+            crowd.push(stream);
+        }
+        for (dest, endpoint) in (0..).zip(&endpoints) {
+            let id = format!("{sockets}-{dest}");
+            assert_eq!(node.hand_in("alert", &id, dest, 16_000, b"x"), 202);
+            endpoint.wait_for(&id, 1);
+        }
+        // A message that has no place to go is told of while discovery is down.
+        assert_eq!(node.hand_in("order", &format!("nowhere-{sockets}"), 99, 300, b"x"), 202);
+        assert_eq!(discovery.wait_notice(&format!("nowhere-{sockets}"))["outcome"], "handed_back");
+        assert_eq!(call_at(control, "PUT /endpoints/e-0/maint"), Some(200));
+        // Discovery is back, with one more.
+        let mut all = listed.clone();
+        all.push(ready("new", new.address, 50));
+        discovery.speak();
+        discovery.set(json!(all));
+        let id = format!("back-{sockets}");
+        assert_eq!(node.hand_in("alert", &id, 50, 16_000, b"x"), 202);
+        new.wait_for(&id, 1);
+        assert!(!node.log().contains("os error 24"), "{}", node.log());
+        assert!(node.descriptors() <= sockets, "{} of {sockets}", node.descriptors());
+        drop(crowd);
+        discovery.set(json!(listed));
+    }
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -226,6 +226,11 @@
         self.state.0.lock().unwrap().2 = true;
     }
 
+    /// Lists are answered again. A call that was left without an answer stays so.
+    pub fn speak(&self) {
+        self.state.0.lock().unwrap().2 = false;
+    }
+
     pub fn notices(&self) -> Vec<Value> {
         notices(&self.peer.seen())
     }
@@ -534,6 +539,14 @@
         self.child.as_mut().is_some_and(|c| c.try_wait().unwrap().is_none())
     }
 
+    /// Lets the running process hold no more descriptors than so many, as its machine does.
+    pub fn limit_descriptors(&self, most: usize) {
+        let id = rustix::process::Pid::from_child(self.child.as_ref().unwrap());
+        let most = Some(most as u64);
+        let limit = rustix::process::Rlimit { current: most, maximum: most };
+        rustix::process::prlimit(Some(id), rustix::process::Resource::Nofile, limit).unwrap();
+    }
+
     /// Descriptors that the process holds.
     pub fn descriptors(&self) -> usize {
         let id = self.child.as_ref().unwrap().id();
