Count a cold return's ramp from between the last failure and the first call served

Cause: a route's ramp grew from the last failure that this sender had seen. Whoever is in doubt calls seldom, so that this may be long before the return, and the ramp was over when it should have begun (rules.rs, ramp and ready_at). The tokens had filled up in the outage besides, so that each first call that was served drew a second one along. A restarted sender needed three failures though it held work that an earlier process had not got rid of.

Change: with the first call served the ramp is taken to have begun in the middle between the last failure and that call, where a fleet is right in the mean; its call was the one that the ramp allows. Where work was inherited and nothing was served yet, the first failure makes a route cold.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -88,6 +88,9 @@
         let (sum, squares) = (self.sum * keep + x, self.squares * keep + x * x);
         *self = Stat { weight: self.weight * keep + 1.0, sum, squares, at: now };
     }
+    fn is_new(&self) -> bool {
+        self.weight <= 0.0
+    }
     fn mean(&self) -> f64 {
         self.sum / self.weight.max(1e-9)
     }
@@ -366,7 +369,7 @@
         let endpoints = &self.endpoints;
         let named: BTreeSet<RouteId> = endpoints.keys().map(|&e| self.route_of(e)).collect();
         self.routes.retain(|id, r| {
-            let seen = r.last_failure.max(r.next_trial).max(r.wait_until);
+            let seen = r.back_at.max(r.next_trial).max(r.wait_until);
             named.contains(id) || r.in_flight > 0 || now < seen.saturating_add(KEEP.max(self.cfg.cold))
         });
         let active = &self.active;
@@ -493,6 +496,8 @@
     /// Takes up what an earlier process left: attempts used count on, and one that was out then may have run.
     fn resume(&mut self, message: Message, past: &[PastAttempt], out: &mut Vec<Action>) {
         self.take(message);
+        let routes = self.routes.range_mut((message.dest, 0)..=(message.dest, EndpointId::MAX));
+        routes.for_each(|(_, route)| route.inherited = route.served.is_new());
         let Some(held) = self.messages.get_mut(&message.id) else { return };
         let zone =
             |e: Option<EndpointId>| e.and_then(|e| self.endpoints.get(&e)).map_or(usize::MAX, |e| e.zone);
@@ -648,7 +653,13 @@
                 }
                 (route.failures, route.refusals, route.crowded) = (0, 0, 0);
                 route.failing *= 0.7;
-                route.doubt = false;
+                (route.doubt, route.inherited) = (false, false);
+                // It came back between the last call that failed and this one. The senders of a fleet, each with
+                // the middle, are together right in the mean; this call was the one that the ramp allows now.
+                if take(&mut route.away) {
+                    route.back_at += (now - e.took.max(0) - route.back_at).max(0) / 2;
+                    (route.tokens, route.filled_at) = (0.0, now);
+                }
                 // The share follows what is left of the allowance: others' calls are not seen otherwise.
                 let (share, most) = (route.share_now(now, stale), route.most());
                 // An answer without a report tells just that there was room for one more.
@@ -673,7 +684,7 @@
                 }
                 route.pause(now, route.refusals, jitter);
                 if route.told() <= 0.0 && route.refusals >= ILL {
-                    (route.cold, route.last_failure) = (true, now);
+                    (route.cold, route.away, route.back_at) = (true, true, now);
                 }
                 // At the limit a refusal is the limit's. Shut: a long wait, plenty left, or refusals only.
                 left.map_or(shut, |l| l > 0.4)
@@ -723,7 +734,9 @@
         route.doubt |= sick;
         // Single failures on the way up are no outage: were each to start the ramp anew, a route that loses
         // one call in twenty would never be warm again.
-        if told && (sick || route.told() <= 0.0 && route.failures >= ILL) {
+        // What is left of another life has waited, and was perhaps refused or lost there: one failure will do.
+        let ill = route.told() <= 0.0 && route.failures >= ILL || route.inherited;
+        if told && (sick || ill) {
             // After an outage every sender has work that waited.
             if !route.cold && self.cfg.n_instances > FEW {
                 let stale = stale(&self.cfg);
@@ -733,8 +746,7 @@
             if !route.cold {
                 route.learn(self.now, stale(&self.cfg), route.usual.rate().max(LEAST / n));
             }
-            route.cold = true;
-            route.last_failure = self.now;
+            (route.cold, route.away, route.back_at) = (true, true, self.now);
         }
     }
 
@@ -761,9 +773,9 @@
     }
 
     /// Calls a second that a cold route may get from this sender: its part of the fall-over budget. It grows
-    /// from the last failure seen, as the return may have come right after it.
+    /// from the first call served after the outage.
     fn ramp(&self, route: &Route) -> f64 {
-        self.ramp_since(route, route.last_failure)
+        self.ramp_since(route, route.back_at)
     }
 
     fn ramp_since(&self, route: &Route, since: Ns) -> f64 {
@@ -815,7 +827,7 @@
         }
         let (ramp, stale) = (self.ramp(route), stale(&self.cfg));
         let route = self.routes.get_mut(&id).expect("looked up above");
-        if route.cold && !route.doubt && now - route.last_failure > self.cfg.cold {
+        if route.cold && !route.doubt && now - route.back_at > self.cfg.cold {
             route.cold = false;
         }
         if route.doubt {
--- a/src/state.rs
+++ b/src/state.rs
@@ -116,7 +116,12 @@
     pub failing: f64,
     pub doubt: bool,
     pub cold: bool,
-    pub last_failure: Ns,
+    /// Work for it was left by another process, and nothing was served since.
+    pub inherited: bool,
+    /// No call was served since the outage was noticed.
+    pub away: bool,
+    /// When it can have come back at the latest: with the first call served, and until then with the last failure.
+    pub back_at: Ns,
     pub next_trial: Ns,
     pub served: Stat,
     pub in_flight: usize,
