End a message whose 200 comes about its time's end by a notice as well

The timer that gives a call up is a millisecond coarse, and of an answer and a timer that are both due the answer is taken (client.rs, exchange, biased).

Change: a 200 that is heard less than 400 ms before the end of its message's time, or after it, ends the message with a notice too. 400 ms is the time that a client waits to be told that its message is taken on, by which the sender's end may be later than the client's; a notice for a message that is over does no harm.

--- a/src/bin/nickelshed/core.rs
+++ b/src/bin/nickelshed/core.rs
@@ -177,6 +177,10 @@
 const ROUND: usize = 512;
 /// Rounds at most before a handover: one leaves something to do where the journal can't be written.
 const SETTLE: usize = 100;
+/// A 200 that is heard so shortly before the end of its message's time, or after it, may have been written when that
+/// time was up: it counts from when the client sent the message, and a client waits so long to be told that it is
+/// taken on. The timers' grain alone lets one pass for in time that is not.
+const CLOSE: Duration = Duration::from_millis(400);
 /// How often writing is tried again where it has failed and nothing comes that would have to be written.
 const PROBE: Duration = Duration::from_millis(250);
 const FIRST_LIST: Duration = Duration::from_millis(300);
@@ -550,7 +554,7 @@
                     for end in ends {
                         let ms = end.took / MS;
                         tracing::debug!(end.id, end.attempt, end.endpoint, ?end.outcome, ms, "attempt ended");
-                        self.ended(&end, &mut records);
+                        self.ended(&end, at, &mut records);
                         round.events.push(Event::AttemptEnd(end));
                     }
                 }
@@ -739,14 +743,20 @@
     }
 
     /// Books an attempt's end.
-    fn ended(&mut self, end: &AttemptEnd, records: &mut Vec<Record>) {
+    fn ended(&mut self, end: &AttemptEnd, at: Instant, records: &mut Vec<Record>) {
         self.calls.remove(&(end.id, end.attempt));
-        if !self.held.contains_key(&end.id) {
-            return;
-        }
+        let Some(held) = self.held.get(&end.id) else { return };
+        let close = held.end - self.clock(at) < CLOSE.as_nanos() as Ns;
         if end.done {
-            records.push(Record::Ended(end.id));
-            self.forget(end.id);
+            let held = self.forget(end.id);
+            match held.filter(|_| close && end.outcome == Outcome::Served) {
+                None => records.push(Record::Ended(end.id)),
+                // Where it was not in time it has no end yet, and where it was a notice does no harm.
+                Some(held) => {
+                    records.push(Record::Decided(end.id, Ending::GivenUp));
+                    self.notify(&held.taken, Ending::GivenUp);
+                }
+            }
         } else if end.outcome.never_ran() {
             records.push(Record::NeverRan(end.id, end.attempt));
         }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -41,6 +41,12 @@
     (discovery, node)
 }
 
+/// Hands in one more and waits for it: what the sender would have done before has been done by then.
+fn settle(node: &Node, endpoint: &Peer) {
+    assert_eq!(node.hand_in("alert", "settle", 7, 16_000, b"."), 202);
+    endpoint.wait_for("settle", 1);
+}
+
 /// One whose only call is never answered: a sender that is told to end has it out until its time is up.
 fn held() -> Peer {
     Peer::new(|_| Reply::Hang)
@@ -92,8 +98,7 @@
     assert!(node.wait_exit().success());
     assert!(answer_on(&rests).is_none());
     node.restart();
-    assert_eq!(node.hand_in("alert", "settle", 7, 16_000, b"."), 202);
-    endpoint.wait_for("settle", 1);
+    settle(&node, &endpoint);
     assert!(endpoint.seen().iter().all(|r| r.id() != "crossed"));
     assert!(discovery.notices().is_empty());
 }
@@ -286,3 +291,135 @@
         discovery.set(json!(listed));
     }
 }
+
+#[test]
+fn a_call_whose_answer_hangs_or_never_ends_is_over_in_time() {
+    let endless = || "X-More: and more\r\n".repeat(100_000);
+    let rows: [(Row, bool); 4] = [
+        (("half a status line", || Reply::Bytes("HTTP/1.1 50".into())), false),
+        (("half of the headers", || Reply::Bytes("HTTP/1.1 500 Error\r\nContent-".into())), false),
+        (("half of the headers of a 200", || Reply::Bytes("HTTP/1.1 200 OK\r\nContent-".into())), true),
+        (
+            ("a body without its end", || {
+                Reply::Bytes("HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\nx".into())
+            }),
+            true,
+        ),
+    ];
+    for ((row, reply), delivered) in rows {
+        let endpoint = Peer::new(move |r| if r.id() == "m" { reply() } else { ok() });
+        let (discovery, node) = one_endpoint(&endpoint);
+        assert_eq!(node.hand_in("order", "m", 7, 900, b"x"), 202);
+        let call = endpoint.wait_for("m", 1).remove(0);
+        // It holds no slot and no connection any longer than that.
+        node.until("the call is over", || endpoint.has_ended(call.connection));
+        assert_eq!(node.hand_in("order", "next", 7, 16_000, b"x"), 202);
+        endpoint.wait_for("next", 1);
+        if !delivered {
+            assert_eq!(discovery.wait_notice("m")["outcome"], "given_up", "{row}");
+        }
+        assert_eq!(endpoint.wait_for("m", 1).len(), 1, "{row}: it may have run");
+        assert!(discovery.notices().iter().all(|n| !delivered || n["message"] != "m"), "{row}");
+    }
+    let endpoint = Peer::new(move |r| match r.id() {
+        "m" => Reply::Bytes(format!("HTTP/1.1 500 Error\r\n{}", endless())),
+        _ => ok(),
+    });
+    let (discovery, node) = one_endpoint(&endpoint);
+    assert_eq!(node.hand_in("order", "m", 7, 16_000, b"x"), 202);
+    // Long before its time: headers are not read without end.
+    assert_eq!(discovery.wait_notice("m")["outcome"], "given_up");
+    assert_eq!(node.hand_in("order", "next", 7, 16_000, b"x"), 202);
+    endpoint.wait_for("next", 1);
+}
+
+#[test]
+fn half_a_line_that_follows_an_answer_is_no_answer_to_the_next_call() {
+    let endpoint = Peer::new(|r| match r.id() {
+        "first" => Reply::Bytes("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 4".into()),
+        _ => ok(),
+    });
+    let (discovery, node) = one_endpoint(&endpoint);
+    for round in 0..5 {
+        assert_eq!(node.hand_in("order", "first", 7, 16_000, b"x"), 202);
+        let first = endpoint.wait_for("first", round + 1).remove(round);
+        // An unsafe one: on that connection it would be lost, and may not be sent again.
+        let next = format!("next-{round}");
+        assert_eq!(node.hand_in("order", &next, 7, 16_000, b"x"), 202);
+        assert_ne!(endpoint.wait_for(&next, 1)[0].connection, first.connection);
+    }
+    assert!(discovery.notices().is_empty(), "{:?}", discovery.notices());
+}
+
+#[test]
+fn all_that_a_restart_finds_untried_is_called_for() {
+    let endpoint = Peer::new(|_| ok());
+    let discovery = Discovery::new(json!([]));
+    let mut node = Node::start(&discovery);
+    // None can be called for yet, and they nearly fill the room.
+    let ids: Vec<String> = (0..80).map(|i| format!("m{i}")).collect();
+    for (i, id) in ids.iter().enumerate() {
+        let class = if i % 2 == 0 { "alert" } else { "order" };
+        assert_eq!(node.hand_in(class, id, 7, 16_000, b"x"), 202);
+    }
+    node.kill();
+    discovery.set(json!([ready("e-1", endpoint.address, 7)]));
+    node.restart();
+    for id in &ids {
+        assert_eq!(endpoint.wait_for(id, 1).len(), 1);
+    }
+    assert!(discovery.notices().is_empty(), "{:?}", discovery.notices());
+}
+
+#[test]
+fn requests_that_lie_of_their_length_or_break_off_are_not_taken_on_and_hold_nobody_up() {
+    let endpoint = Peer::new(|_| ok());
+    let (_discovery, node) = one_endpoint(&endpoint);
+    let whole = String::from_utf8(message("alert", "lies", 7, 9_000, b"body")).unwrap();
+    let longer = whole.replace("Content-Length: 4", "Content-Length: 400");
+    let signed = whole.replace("Content-Length: 4", "Content-Length: -4");
+    let twice = whole.replace("Content-Length: 4", "Content-Length: 4\r\nContent-Length: 5");
+    let lines = "POST /alert HTTP/1.1\r\n".to_string() + &"X: y\r\n".repeat(50_000);
+    let held: Vec<TcpStream> = [longer, signed, twice, lines, "\r\n".repeat(1_000), "\0".repeat(9_000)]
+        .iter()
+        .map(|bytes| {
+            let mut stream = connect(&node);
+            // It may be closed on them before all is written.
+            let _ = stream.write_all(bytes.as_bytes());
+            let _ = stream.shutdown(std::net::Shutdown::Write);
+            stream
+        })
+        .collect();
+    // While those are open others are served.
+    assert_eq!(node.hand_in("alert", "settle", 7, 16_000, b"."), 202);
+    endpoint.wait_for("settle", 1);
+    for mut stream in held {
+        let mut told = Vec::new();
+        // A reset is a close as well.
+        let _ = stream.read_to_end(&mut told);
+        assert!(told.is_empty() || told.starts_with(b"HTTP/1.1 4"), "{}", String::from_utf8_lossy(&told));
+    }
+    assert_eq!(endpoint.seen().len(), 1);
+}
+
+#[test]
+fn a_200_so_close_to_the_end_of_its_message_s_time_does_not_stand_for_the_notice() {
+    let endpoint = Peer::new(|_| ok());
+    let (discovery, mut node) = one_endpoint(&endpoint);
+    // Its client may have waited 400 ms to be told that it is taken on: its time may be up when this is answered.
+    assert_eq!(node.hand_in("order", "close", 7, 350, b"x"), 202);
+    endpoint.wait_for("close", 1);
+    assert_eq!(discovery.wait_notice("close")["outcome"], "given_up");
+    assert_eq!(node.hand_in("order", "in time", 7, 16_000, b"x"), 202);
+    endpoint.wait_for("in time", 1);
+    settle(&node, &endpoint);
+    // Both are over for the next process as well.
+    node.kill();
+    node.restart();
+    assert_eq!(node.hand_in("order", "last", 9, 300, b"x"), 202);
+    discovery.wait_notice("last");
+    for id in ["close", "in time"] {
+        assert_eq!(endpoint.wait_for(id, 1).len(), 1, "{id}");
+    }
+    assert!(discovery.notices().iter().all(|n| n["message"] != "in time"), "{:?}", discovery.notices());
+}
