--- a/src/rules.rs
+++ b/src/rules.rs
@@ -734,8 +734,8 @@
         route.doubt |= sick;
         // Single failures on the way up are no outage: were each to start the ramp anew, a route that loses
         // one call in twenty would never be warm again.
-        // What is left of another life has waited, and was perhaps refused or lost there: one failure will do.
-        let ill = route.told() <= 0.0 && route.failures >= ILL || route.inherited;
+        // What is left of another life has waited, and was perhaps refused or lost there.
+        let ill = (route.told() <= 0.0 || route.inherited) && route.failures >= ILL;
         if told && (sick || ill) {
             // After an outage every sender has work that waited.
             if !route.cold && self.cfg.n_instances > FEW {
