--- a/src/rules.rs
+++ b/src/rules.rs
@@ -654,8 +654,8 @@
                 (route.failures, route.refusals, route.crowded) = (0, 0, 0);
                 route.failing *= 0.7;
                 (route.doubt, route.inherited) = (false, false);
-                // It came back between the last call that failed and this one. The senders of a fleet, each with
-                // the middle, are together right in the mean; this call was the one that the ramp allows now.
+                // It came back between the last call that failed and this one. The senders of a fleet, each
+                // with the middle, are right together in the mean; this was the call that the ramp allows.
                 if take(&mut route.away) {
                     route.back_at += (now - e.took.max(0) - route.back_at).max(0) / 2;
                     (route.tokens, route.filled_at) = (0.0, now);
@@ -773,7 +773,7 @@
     }
 
     /// Calls a second that a cold route may get from this sender: its part of the fall-over budget. It grows
-    /// from the first call served after the outage.
+    /// from when the route is taken to have come back.
     fn ramp(&self, route: &Route) -> f64 {
         self.ramp_since(route, route.back_at)
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -120,7 +120,8 @@
     pub inherited: bool,
     /// No call was served since the outage was noticed.
     pub away: bool,
-    /// When it can have come back at the latest: with the first call served, and until then with the last failure.
+    /// When it is taken to have come back: between the last failure and the first call served, and until that with
+    /// the failure.
     pub back_at: Ns,
     pub next_trial: Ns,
     pub served: Stat,
