--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -35,18 +35,6 @@
     assert!(rest.is_empty(), "{}", String::from_utf8_lossy(&rest));
 }
 
-fn one_endpoint(endpoint: &Peer) -> (Discovery, Node) {
-    let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7)]));
-    let node = Node::start(&discovery);
-    (discovery, node)
-}
-
-/// Hands in one more and waits for it: what the sender would have done before has been done by then.
-fn settle(node: &Node, endpoint: &Peer) {
-    assert_eq!(node.hand_in("alert", "settle", 7, 16_000, b"."), 202);
-    endpoint.wait_for("settle", 1);
-}
-
 /// One whose only call is never answered: a sender that is told to end has it out until its time is up.
 fn held() -> Peer {
     Peer::new(|_| Reply::Hang)
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -574,3 +574,16 @@
         }
     }
 }
+
+/// A sender whose list names one endpoint, of destination 7.
+pub fn one_endpoint(endpoint: &Peer) -> (Discovery, Node) {
+    let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7)]));
+    let node = Node::start(&discovery);
+    (discovery, node)
+}
+
+/// Hands in one more and waits for it: what the sender would have done before has been done by then.
+pub fn settle(node: &Node, endpoint: &Peer) {
+    assert_eq!(node.hand_in("alert", "settle", 7, 16_000, b"."), 202);
+    endpoint.wait_for("settle", 1);
+}
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -16,18 +16,6 @@
     Peer::new(move |_| if calls.fetch_add(1, Ordering::SeqCst) == 0 { first() } else { ok() })
 }
 
-fn one_endpoint(endpoint: &Peer) -> (Discovery, Node) {
-    let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7)]));
-    let node = Node::start(&discovery);
-    (discovery, node)
-}
-
-/// Hands in one more and waits for it: what the sender would have done before has been done by then.
-fn settle(node: &Node, endpoint: &Peer) {
-    assert_eq!(node.hand_in("alert", "settle", 7, 16_000, b"."), 202);
-    endpoint.wait_for("settle", 1);
-}
-
 /// A message is over once it was called for, and the next process owes nothing for it.
 fn one_call_ends_it_for_good(endpoint: &Peer, class: &str) {
     let (discovery, mut node) = one_endpoint(endpoint);
