--- a/tests/returns.rs
+++ b/tests/returns.rs
@@ -36,13 +36,8 @@
 const BACK: Ns = 20 * SECOND;
 const END: Ns = 34 * SECOND;
 
-struct Counted {
-    /// When calls reached it after it was back, and whether their sender had seen one fail there.
-    calls: Vec<(Ns, bool)>,
-    served: usize,
-}
-
-fn play(case: Case, cfg: &Settings) -> Counted {
+/// When calls reached it after it was back, and whether their sender had seen one fail there.
+fn play(case: Case, cfg: &Settings) -> Vec<(Ns, bool)> {
     let n = case.senders;
     let mut random = case.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
     let mut draw = move || {
@@ -69,7 +64,7 @@
     let mut attempts = BTreeMap::<MsgId, u32>::new();
     // Each sender's messages that have no end yet, for the restart.
     let mut held: Vec<BTreeMap<MsgId, (Message, Ns)>> = vec![BTreeMap::new(); n];
-    let mut counted = Counted { calls: Vec::new(), served: 0 };
+    let mut calls = Vec::new();
     let (mut next, mut now) = (0, T0);
     while now < T0 + END {
         now += 20 * MS;
@@ -121,8 +116,7 @@
                             }
                         };
                         if at >= BACK {
-                            counted.calls.push((at, seen[i]));
-                            counted.served += 1;
+                            calls.push((at, seen[i]));
                             held[i].remove(&id);
                         }
                         let after = AttemptEnd { took, ..end(id, *attempt, endpoint, outcome) };
@@ -136,16 +130,16 @@
             }
         }
     }
-    counted
+    calls
 }
 
 /// The largest excess of calls in a window of the settings' length over N + 2 root N + 2, and the calls in it.
-fn worst(case: Case, cfg: &Settings, counted: &Counted) -> (f64, f64, f64) {
+fn worst(case: Case, cfg: &Settings, calls: &[(Ns, bool)]) -> (f64, f64, f64) {
     let span = cfg.overload_for;
     let (mut worst, mut first) = ((f64::MIN, 0.0, 0.0), 0);
     // Once it is warm it does not fall any more.
     let cold = |c: &&(Ns, bool)| c.1 && c.0 <= BACK + cfg.cold;
-    let calls: Vec<Ns> = counted.calls.iter().filter(cold).map(|c| c.0).collect();
+    let calls: Vec<Ns> = calls.iter().filter(cold).map(|c| c.0).collect();
     for (last, &at) in calls.iter().enumerate() {
         while calls[first] <= at - span {
             first += 1;
@@ -173,9 +167,9 @@
                     let case = Case { senders, usual, told, away, restarted, seed };
                     let more = Settings { max_open: 10_000, ..settings() };
                     let cfg = Settings { n_instances: senders, hints: told, ..more };
-                    let counted = play(case, &cfg);
-                    assert!(counted.served > 0, "{case:?}: the return is not noticed");
-                    let (over, sent, n) = worst(case, &cfg, &counted);
+                    let calls = play(case, &cfg);
+                    assert!(!calls.is_empty(), "{case:?}: the return is not noticed");
+                    let (over, sent, n) = worst(case, &cfg, &calls);
                     if over > 0.0 {
                         bad.push(format!("{case:?}: {sent} calls where N is {n:.1}, {over:.1} too many"));
                     }
