Name the sender, its library and the simulator's adapter by what they are

Need: the names of the earlier house style are withdrawn. Change: the package is `sender`, its programs `cairnpulley-sender` and `simulator-adapter`; git mv and rename alone.

--- a/crates/cairnpulley/src/state.rs
+++ b/crates/cairnpulley/src/state.rs
@@ -2,8 +2,8 @@
 use crate::output::Exit;
 use clap::{Subcommand, ValueEnum};
 use comfy_table::{presets, Table};
-use leadfold::records::folder::{self, FolderError, Form, Shown, State};
-use leadfold::records::journal_file;
+use sender::records::folder::{self, FolderError, Form, Shown, State};
+use sender::records::journal_file;
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::fs::File;
--- a/crates/range/examples/readiness.rs
+++ b/crates/range/examples/readiness.rs
@@ -1,10 +1,10 @@
 //! How long a sender takes to be ready over what a crash has left, as a multiple of reading those files once.
 //!
-//!     cargo run --release -p range --example readiness -- target/release/nickelshed [journal-file]
+//!     cargo run --release -p range --example readiness -- target/release/cairnpulley-sender [journal-file]
 //!
 //! With `journal-file` folders are in the form before the log, for senders of that time or to see the taking over.
-use leadfold::records::book::Book;
-use leadfold::records::{folder, journal_file, wall_ms, Owed, Taken};
+use sender::records::book::Book;
+use sender::records::{folder, journal_file, wall_ms, Owed, Taken};
 use serde_json::json;
 use std::error::Error;
 use std::io::{BufRead, BufReader, Read, Write};
--- a/crates/range/src/program.rs
+++ b/crates/range/src/program.rs
@@ -2,9 +2,9 @@
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
-pub const NAME: &str = "nickelshed";
+pub const NAME: &str = "cairnpulley-sender";
 /// The package that the sender's binary belongs to.
-const PACKAGE: &str = "leadfold";
+const PACKAGE: &str = "sender";
 
 #[derive(Debug, thiserror::Error)]
 pub enum ProgramError {
--- a/crates/range/src/sim/network.rs
+++ b/crates/range/src/sim/network.rs
@@ -4,7 +4,7 @@
 use crate::platform::destination::CallNo;
 use crate::relay::shape::{Lane, Shape};
 use crate::relay::Condition;
-use leadfold::api::MsgId;
+use sender::api::MsgId;
 use std::collections::HashMap;
 
 /// One way on loopback, through both processes.
--- a/crates/range/src/sim/senders.rs
+++ b/crates/range/src/sim/senders.rs
@@ -3,9 +3,9 @@
 use crate::clock::{Ns, MS, SECOND};
 use crate::ledger::MessageId;
 use crate::plan::Plan;
-use leadfold::api::{Action, Event, Message, MsgId, PastAttempt, Settings};
-use leadfold::rules;
-use leadfold::settings;
+use sender::api::{Action, Event, Message, MsgId, PastAttempt, Settings};
+use sender::rules;
+use sender::settings;
 use std::collections::BTreeMap;
 
 /// Where the module's clock stands when clients begin, as attempts of earlier processes lie before it.
--- a/crates/range/src/sim/world/calls.rs
+++ b/crates/range/src/sim/world/calls.rs
@@ -6,7 +6,7 @@
 use crate::sim::network::{self, Call, WAY};
 use crate::sim::senders::{Process, Tried};
 use crate::spec::Link;
-use leadfold::api::{self, Event, MsgId, Outcome};
+use sender::api::{self, Event, MsgId, Outcome};
 
 impl World<'_> {
     pub(super) fn is_down(&self, endpoint: u32) -> bool {
--- a/crates/range/src/sim/world/lists.rs
+++ b/crates/range/src/sim/world/lists.rs
@@ -5,7 +5,7 @@
 use crate::platform::list::{Entry, Lifecycle, Told};
 use crate::sim::senders::Process;
 use crate::spec::Link;
-use leadfold::api::{self, Event};
+use sender::api::{self, Event};
 use rand::RngExt;
 
 impl World<'_> {
--- a/crates/range/src/sim/world/mod.rs
+++ b/crates/range/src/sim/world/mod.rs
@@ -18,7 +18,7 @@
 use crate::relay::shape::Lane;
 use crate::relay::Condition;
 use crate::spec::{Folder, Kind, Link};
-use leadfold::api::{Event, MsgId, Outcome};
+use sender::api::{Event, MsgId, Outcome};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, HashMap};
 
--- a/crates/range/src/sim/world/processes.rs
+++ b/crates/range/src/sim/world/processes.rs
@@ -6,7 +6,7 @@
 use crate::sim::network::{Call, WAY};
 use crate::sim::senders::{self, Process};
 use crate::spec::Folder;
-use leadfold::api::{Action, Event, MsgId, Outcome};
+use sender::api::{Action, Event, MsgId, Outcome};
 use rand::Rng;
 
 impl World<'_> {
--- a/crates/range/src/sim/world/schedule.rs
+++ b/crates/range/src/sim/world/schedule.rs
@@ -6,7 +6,7 @@
 use crate::platform::list::Lifecycle;
 use crate::sim::senders::Process;
 use crate::spec::{Kind, Link};
-use leadfold::api::Outcome;
+use sender::api::Outcome;
 
 impl World<'_> {
     pub(super) fn step(&mut self, does: &Does) {
--- a/src/bin/nickelshed/config.rs
+++ b/src/bin/sender/config.rs
@@ -1,7 +1,7 @@
 //! The environment and config.json, read at the start; discovery's address in the file again on SIGHUP.
 use crate::discovery::List;
-use leadfold::api::Settings;
-use leadfold::settings::{self, Around};
+use sender::api::Settings;
+use sender::settings::{self, Around};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
--- a/src/bin/nickelshed/core/tests.rs
+++ b/src/bin/sender/core/tests.rs
@@ -108,7 +108,7 @@
 
 impl Folder {
     fn new(name: &str) -> Folder {
-        let folder = std::env::temp_dir().join(format!("nickelshed-core-{name}-{}", std::process::id()));
+        let folder = std::env::temp_dir().join(format!("sender-core-{name}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(folder.join("journal")).unwrap();
         Folder(folder)
@@ -143,7 +143,7 @@
         "Safety": {"StartCapacity": 0.26, "ColdNs": 9_500_000_000u64, "FallMultiple": 1.5,
             "OverloadForNs": 2_000_000_000},
         "Services": [class]});
-    let (read, around) = leadfold::settings::read(&settings).unwrap();
+    let (read, around) = sender::settings::read(&settings).unwrap();
     let nowhere = "127.0.0.1:1".parse().unwrap();
     Config {
         name: "n0".into(),
--- a/src/bin/nickelshed/discovery.rs
+++ b/src/bin/sender/discovery.rs
@@ -1,7 +1,7 @@
 //! The list of endpoints: the whole list once, then a watch that goes out again at once.
 use crate::client::{self, Connection, Fault};
 use crate::core::Input;
-use leadfold::records::MAX_NAME;
+use sender::records::MAX_NAME;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
--- a/src/bin/nickelshed/handover.rs
+++ b/src/bin/sender/handover.rs
@@ -11,8 +11,8 @@
 use crate::owner::Owner;
 use crate::server::{Moved, Server};
 use bytes::Bytes;
-use leadfold::api::{AttemptEnd, Outcome};
-use leadfold::records::Taken;
+use sender::api::{AttemptEnd, Outcome};
+use sender::records::Taken;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
--- a/src/bin/nickelshed/journal.rs
+++ b/src/bin/sender/journal.rs
@@ -6,8 +6,8 @@
 
 use crate::config::Sync;
 use crate::owner::Owner;
-use leadfold::records::book::Book;
-use leadfold::records::{payload, Owed, Record, Taken};
+use sender::records::book::Book;
+use sender::records::{payload, Owed, Record, Taken};
 use std::collections::BTreeMap;
 use std::io;
 use std::path::Path;
--- a/src/bin/nickelshed/journal/takeover.rs
+++ b/src/bin/sender/journal/takeover.rs
@@ -2,8 +2,8 @@
 //!
 //! The log takes the file's name, as a folder: a sender of that time that is started again can't read it and says so,
 //! where it would otherwise begin with nothing and forget what it owes.
-use leadfold::records::book::Book;
-use leadfold::records::journal_file;
+use sender::records::book::Book;
+use sender::records::journal_file;
 use std::fs;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -69,7 +69,7 @@
     read.records.iter().for_each(|r| book.note(r));
     let (mut log, _) = Log::open(Disk::new(folder), config.clone(), |_| Ok(()))?;
     for (&key, owed) in book.owed() {
-        let payload = leadfold::records::payload::image(owed);
+        let payload = sender::records::payload::image(owed);
         log.append(&[Entry { key, does: Does::Begin, payload: &payload }], &book)?;
     }
     if config.durable {
--- a/src/bin/nickelshed/learned.rs
+++ b/src/bin/sender/learned.rs
@@ -1,8 +1,8 @@
 //! What the module has learned, kept beside the journal as a snapshot, so that a process that was killed is followed by
 //! one that need not learn it anew. It is written to the side and renamed; one that does not suit is left, and told.
 use crate::config::Config;
-use leadfold::api::Ns;
-use leadfold::rules::Sender;
+use sender::api::Ns;
+use sender::rules::Sender;
 use serde::{Deserialize, Serialize};
 use std::fs;
 use std::io;
--- a/src/bin/nickelshed/main.rs
+++ b/src/bin/sender/main.rs
@@ -1,4 +1,4 @@
-//! nickelshed: one real sender. Start, signals and wiring.
+//! cairnpulley-sender: one real sender. Start, signals and wiring.
 mod client;
 mod config;
 mod control;
@@ -13,7 +13,7 @@
 mod owner;
 mod server;
 
-use leadfold::api::MS;
+use sender::api::MS;
 use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
--- a/src/bin/nickelshed/maint.rs
+++ b/src/bin/sender/maint.rs
@@ -1,5 +1,5 @@
 //! Which endpoints operators have taken out, kept in `$EDGE_STATE` from before they are told yes.
-use leadfold::records::wall_ms;
+use sender::records::wall_ms;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
--- a/src/bin/nickelshed/notices.rs
+++ b/src/bin/sender/notices.rs
@@ -1,7 +1,7 @@
 //! Notices to the platform: how messages ended that were taken on and not delivered.
 use crate::client::{self, Connection};
 use crate::core::Input;
-use leadfold::records::Ending;
+use sender::records::Ending;
 use serde_json::json;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/src/bin/leadfold-simhost/host.rs
+++ b/src/bin/simulator-adapter/host.rs
@@ -1,7 +1,7 @@
 //! Wire lines to `api` events for each sender, and its actions back to lines.
-use leadfold::api::*;
-use leadfold::rules::Sender;
-use leadfold::settings::{self, Around};
+use sender::api::*;
+use sender::rules::Sender;
+use sender::settings::{self, Around};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write;
 use std::rc::Rc;
--- a/src/bin/leadfold-simhost/main.rs
+++ b/src/bin/simulator-adapter/main.rs
@@ -38,6 +38,6 @@
 
 /// A wire that cannot be understood is no ground to decide on: say why, once, and end.
 fn stop(message: &str) -> ! {
-    eprintln!("leadfold-simhost: {message}");
+    eprintln!("simulator-adapter: {message}");
     std::process::exit(2)
 }
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -9,7 +9,7 @@
 "Services":[{"PromiseNs":2000000000,"DeadlineNs":16000000000,"Effect":"keyed","WindowNs":4000000000}]}"#;
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_leadfold-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_simulator-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -1,8 +1,8 @@
 //! Limits that nobody tells: a few to many senders, each alone, at one destination that refuses what is too much.
 mod common;
 use common::*;
-use leadfold::api::*;
-use leadfold::rules::Sender;
+use sender::api::*;
+use sender::rules::Sender;
 use std::collections::{BTreeMap, VecDeque};
 
 /// How a destination counts.
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -455,7 +455,7 @@
         std::fs::write(&config, self.config.to_string()).unwrap();
         let log =
             std::fs::OpenOptions::new().create(true).append(true).open(self.folder.join("log")).unwrap();
-        Command::new(env!("CARGO_BIN_EXE_nickelshed"))
+        Command::new(env!("CARGO_BIN_EXE_cairnpulley-sender"))
             .env("EDGE_NAME", self.config["name"].as_str().unwrap_or_default())
             .env("EDGE_LISTEN", self.address.to_string())
             .env("EDGE_DISCOVERY", self.discovery.to_string())
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -1,6 +1,6 @@
 //! What a sender owes outlasts its process, damage of its files, and a change of their format.
 mod peers;
-use leadfold::records::folder;
+use sender::records::folder;
 use peers::*;
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
--- a/tests/returns.rs
+++ b/tests/returns.rs
@@ -2,8 +2,8 @@
 //! away and comes back at a part of what it can do.
 mod common;
 use common::*;
-use leadfold::api::*;
-use leadfold::rules::Sender;
+use sender::api::*;
+use sender::rules::Sender;
 use std::collections::BTreeMap;
 
 /// How calls fail while it is away.
