Rename crates/range to testbed

Need: the names of the earlier house style are withdrawn. Change: git mv and rename alone; `cairnpulley range` still works as another name of `cairnpulley testbed`.

--- a/crates/cairnpulley/src/main.rs
+++ b/crates/cairnpulley/src/main.rs
@@ -1,8 +1,8 @@
 //! cairnpulley: the command line of the senders' fleet. Arguments and printing; the work is done in the crates below.
 mod logging;
 mod output;
-mod range;
 mod state;
+mod testbed;
 
 use clap::{Args, Parser, Subcommand};
 use std::path::PathBuf;
@@ -14,7 +14,7 @@
     /// Form of the log, which goes to standard error.
     #[arg(long, value_enum, default_value_t, global = true)]
     log_format: logging::Format,
-    /// What is logged, as `info` or `range=debug`.
+    /// What is logged, as `info` or `testbed=debug`.
     #[arg(long, default_value = "warn", global = true)]
     log: String,
     #[command(subcommand)]
@@ -27,9 +27,9 @@
     ///
     /// Exits with 0 if all promises were kept, 1 if one was broken, 3 if the play says nothing of the senders.
     Demo(Demo),
-    /// The proving ground: experiments with real senders.
-    #[command(subcommand)]
-    Range(Range),
+    /// The testbed: experiments with real senders.
+    #[command(subcommand, alias = "range")]
+    Testbed(Testbed),
     /// A sender's lasting folder: what it holds, whether it is sound, and ways out of it.
     ///
     /// Exits with 0 if it is sound, 1 if something in it is damaged, 2 if it can't be read or written.
@@ -63,7 +63,7 @@
 }
 
 #[derive(Subcommand)]
-enum Range {
+enum Testbed {
     /// Plays an experiment with real senders on loopback.
     ///
     /// Exits as `demo` does.
@@ -125,14 +125,14 @@
         return output::Exit::Usage.into();
     }
     let done = match cli.command {
-        Command::Demo(demo) => range::demo(demo.seconds, &demo.play),
-        Command::Range(Range::Run { file, play, set }) => range::run(&file, &set, &play),
-        Command::Range(Range::Sim { file, seed, json, out, set }) => {
-            range::sim(&file, &set, &Play { seed, json, out, sender: None })
+        Command::Demo(demo) => testbed::demo(demo.seconds, &demo.play),
+        Command::Testbed(Testbed::Run { file, play, set }) => testbed::run(&file, &set, &play),
+        Command::Testbed(Testbed::Sim { file, seed, json, out, set }) => {
+            testbed::sim(&file, &set, &Play { seed, json, out, sender: None })
         }
-        Command::Range(Range::Compare { a, b, json }) => range::compare(&a, &b, json),
-        Command::Range(Range::Report { dir, to }) => range::report(&dir, to.as_deref()),
-        Command::Range(Range::Check { file, seed }) => range::check(&file, seed),
+        Command::Testbed(Testbed::Compare { a, b, json }) => testbed::compare(&a, &b, json),
+        Command::Testbed(Testbed::Report { dir, to }) => testbed::report(&dir, to.as_deref()),
+        Command::Testbed(Testbed::Check { file, seed }) => testbed::check(&file, seed),
         Command::State(command) => match state::run(&command) {
             Ok(exit) => return exit.into(),
             Err(error) => {
--- a/crates/cairnpulley/src/output.rs
+++ b/crates/cairnpulley/src/output.rs
@@ -1,13 +1,13 @@
 //! What a person sees: progress while a play runs, and its outcome as a table.
 use comfy_table::{presets::UTF8_FULL_CONDENSED, CellAlignment, Table};
 use indicatif::{ProgressBar, ProgressStyle};
-use range::clock::SECOND;
-use range::compare::{Comparison, Line};
-use range::judge::Rule;
-use range::play::{Progress, Verdict};
 use std::io::IsTerminal;
 use std::process::ExitCode;
 use std::time::Duration;
+use testbed::clock::SECOND;
+use testbed::compare::{Comparison, Line};
+use testbed::judge::Rule;
+use testbed::play::{Progress, Verdict};
 use tokio::sync::watch;
 
 /// How the program ends.
@@ -137,7 +137,7 @@
             format!("{:.0}, {:.0} ms", verdict.latency.p50_ms, verdict.latency.p99_ms),
         ],
         ["calls, over a limit".into(), format!("{}, {}", c.calls, c.over_limit)],
-        ["range late, p99".into(), format!("{:.1} ms", verdict.lateness_p99_ms)],
+        ["testbed late, p99".into(), format!("{:.1} ms", verdict.lateness_p99_ms)],
     ];
     let holds = |n: usize| ["machine holds about".to_string(), format!("{n} such senders")];
     let rows: Vec<_> = rows.into_iter().chain(verdict.holds.map(holds)).collect();
--- a/crates/cairnpulley/src/range.rs
+++ b/crates/cairnpulley/src/testbed.rs
@@ -1,19 +1,19 @@
-//! `cairnpulley demo` and `cairnpulley range`.
+//! `cairnpulley demo` and `cairnpulley testbed`.
 use crate::output::{self, Exit};
 use crate::Play;
-use range::clock::SECOND;
-use range::compare::{self, Word};
-use range::plan::Plan;
-use range::play::{self, PlayError, Played, Progress};
-use range::program::{self, ProgramError};
-use range::record;
-use range::report;
-use range::seed::Seed;
-use range::sim::{self, Simulated};
-use range::spec::{Spec, SpecError};
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use testbed::clock::SECOND;
+use testbed::compare::{self, Word};
+use testbed::plan::Plan;
+use testbed::play::{self, PlayError, Played, Progress};
+use testbed::program::{self, ProgramError};
+use testbed::record;
+use testbed::report;
+use testbed::seed::Seed;
+use testbed::sim::{self, Simulated};
+use testbed::spec::{Spec, SpecError};
 use tokio::sync::watch;
 
 const DEMO: &str = include_str!("../../../experiments/demo.toml");
--- a/crates/cairnpulley/tests/cli.rs
+++ b/crates/cairnpulley/tests/cli.rs
@@ -1,9 +1,9 @@
 //! The command line as its users meet it: exit codes, errors that name their place, and nothing left behind.
-use range::play::Verdict;
-use range::program;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output, Stdio};
 use std::time::{Duration, Instant};
+use testbed::play::Verdict;
+use testbed::program;
 
 /// Far longer than anything here takes.
 const BOUND: Duration = Duration::from_secs(60);
@@ -35,7 +35,7 @@
     let done = run(&["demo", "--seconds", "5", "--seed", "7", "--json", "--sender", &sender()]);
     let verdict: Verdict = serde_json::from_slice(&done.stdout).expect("a verdict");
     assert!(verdict.breaks.is_empty(), "{:#?}", verdict.breaks);
-    // On a busy machine the range is late itself, and says that instead.
+    // On a busy machine the testbed is late itself, and says that instead.
     let code = if verdict.void.is_some() { 3 } else { 0 };
     assert_eq!(done.status.code(), Some(code));
     assert_eq!((verdict.schema, verdict.seed, verdict.senders), (1, 7, 3));
@@ -47,7 +47,7 @@
 #[test]
 fn a_broken_promise_is_exit_code_1_and_is_named() {
     let (_folder, path) = file("seconds = 1\nsenders = 2\n[program]\npath = '/bin/false'");
-    let done = run(&["range", "run", path.to_str().unwrap()]);
+    let done = run(&["testbed", "run", path.to_str().unwrap()]);
     assert_eq!(done.status.code(), Some(1));
     let said = String::from_utf8(done.stdout).unwrap();
     assert!(said.contains("BROKEN crash (2): sender"), "{said}");
@@ -64,13 +64,13 @@
         ("seconds = 1e9\n", "seconds is 1000000000"),
     ] {
         let (_folder, path) = file(text);
-        let done = run(&["range", "check", path.to_str().unwrap()]);
+        let done = run(&["testbed", "check", path.to_str().unwrap()]);
         let said = String::from_utf8(done.stderr).unwrap();
         assert_eq!(done.status.code(), Some(2), "{text}: {said}");
         assert!(said.contains(place) && said.contains("test.toml"), "{text}: {said}");
     }
     let (_folder, path) = file("seconds = 1\n");
-    let done = run(&["range", "run", path.to_str().unwrap(), "--set", "traffic.rate=-4"]);
+    let done = run(&["testbed", "run", path.to_str().unwrap(), "--set", "traffic.rate=-4"]);
     let said = String::from_utf8(done.stderr).unwrap();
     assert!(done.status.code() == Some(2) && said.contains("traffic.rate is -4"), "{said}");
 }
@@ -81,7 +81,7 @@
     let mut count = 0;
     for entry in std::fs::read_dir(folder).unwrap() {
         let path = entry.unwrap().path();
-        let check = |seed| run(&["range", "check", path.to_str().unwrap(), "--seed", seed]);
+        let check = |seed| run(&["testbed", "check", path.to_str().unwrap(), "--seed", seed]);
         let (one, again, other) = (check("5"), check("5"), check("6"));
         assert!(one.status.success(), "{}", String::from_utf8_lossy(&one.stderr));
         assert_eq!(one.stdout, again.stdout);
@@ -98,7 +98,8 @@
     );
     let dir = |name: &str| folder.path().join(name).display().to_string();
     let sim = |out: &str, set: &str| {
-        let done = run(&["range", "sim", path.to_str().unwrap(), "--seed", "1", "--out", out, "--set", set]);
+        let done =
+            run(&["testbed", "sim", path.to_str().unwrap(), "--seed", "1", "--out", out, "--set", set]);
         assert!(done.status.success(), "{}", String::from_utf8_lossy(&done.stderr));
         done.stdout
     };
@@ -106,25 +107,25 @@
     assert_eq!(first, sim(&dir("again"), "traffic.load=0.7"), "one seed, one output");
     sim(&dir("b"), "traffic.load=2.5");
     let compare = |a: &str, b: &str| {
-        let done = run(&["range", "compare", &dir(a), &dir(b), "--json"]);
+        let done = run(&["testbed", "compare", &dir(a), &dir(b), "--json"]);
         let compared: serde_json::Value = serde_json::from_slice(&done.stdout).expect("a comparison");
         (done.status.code(), compared["lines"][0]["word"].as_str().unwrap().to_string())
     };
     assert_eq!(compare("a", "again"), (Some(0), "inside-the-noise".into()));
     assert_eq!(compare("a", "b"), (Some(1), "worse".into()));
     assert_eq!(compare("b", "a"), (Some(0), "better".into()));
-    let done = run(&["range", "compare", &dir("a"), &dir("nowhere")]);
+    let done = run(&["testbed", "compare", &dir("a"), &dir("nowhere")]);
     let said = String::from_utf8_lossy(&done.stderr).to_string();
     assert!(done.status.code() == Some(2) && said.contains("nowhere"), "{said}");
 
-    assert!(run(&["range", "report", &dir("a")]).status.success());
+    assert!(run(&["testbed", "report", &dir("a")]).status.success());
     let page = std::fs::read_to_string(Path::new(&dir("a")).join("report.html")).unwrap();
     assert!(page.contains("<title>Experiment pair &lt;&amp;&gt;</title>"), "the title is text, not markup");
     assert_eq!(page.matches("<svg").count(), 18, "three plots for each of six seeds");
     assert_eq!(page.matches("shut: destination").count(), 6, "the fault is listed");
     assert!(!page.contains("<script") && !page.contains("<link"), "it needs nothing else");
     // An experiment's folder is never written over.
-    let done = run(&["range", "sim", path.to_str().unwrap(), "--out", &dir("a")]);
+    let done = run(&["testbed", "sim", path.to_str().unwrap(), "--out", &dir("a")]);
     assert_eq!(done.status.code(), Some(2));
 }
 
@@ -156,23 +157,23 @@
 }
 
 #[test]
-fn nothing_is_left_behind_by_a_range_that_is_killed_or_broken_off() {
+fn nothing_is_left_behind_by_a_testbed_that_is_killed_or_broken_off() {
     for (signal, code) in [("-KILL", None), ("-INT", Some(130))] {
         let sender = sender();
-        let mut range = cairnpulley()
+        let mut testbed = cairnpulley()
             .args(["demo", "--seconds", "60", "--seed", "1", "--sender", &sender])
             .stdout(Stdio::null())
             .stderr(Stdio::null())
             .spawn()
             .expect("it starts");
-        until("three senders run", || children(range.id()).len() == 3);
-        let senders = children(range.id());
+        until("three senders run", || children(testbed.id()).len() == 3);
+        let senders = children(testbed.id());
         // Long enough for the program to listen for the signal.
         until("the senders work", || {
             senders.iter().all(|id| Path::new(&format!("/proc/{id}/fd/9")).exists())
         });
-        assert!(Command::new("kill").args([signal, &range.id().to_string()]).status().unwrap().success());
-        assert_eq!(range.wait().unwrap().code(), code, "{signal}");
+        assert!(Command::new("kill").args([signal, &testbed.id().to_string()]).status().unwrap().success());
+        assert_eq!(testbed.wait().unwrap().code(), code, "{signal}");
         until("the senders have ended", || !senders.iter().any(|id| runs(*id)));
     }
 }
--- a/crates/range/examples/readiness.rs
+++ b/crates/testbed/examples/readiness.rs
@@ -1,6 +1,6 @@
 //! How long a sender takes to be ready over what a crash has left, as a multiple of reading those files once.
 //!
-//!     cargo run --release -p range --example readiness -- target/release/cairnpulley-sender [journal-file]
+//!     cargo run --release -p testbed --example readiness -- target/release/cairnpulley-sender [journal-file]
 //!
 //! With `journal-file` folders are in the form before the log, for senders of that time or to see the taking over.
 use sender::records::book::Book;
--- a/crates/range/src/addresses.rs
+++ b/crates/testbed/src/addresses.rs
@@ -10,7 +10,7 @@
 
 /// Connections that wait to be accepted.
 const BACKLOG: u16 = 256;
-/// How often an address is drawn before the range gives up.
+/// How often an address is drawn before the testbed gives up.
 const TRIES: usize = 32;
 
 /// An address with a free port, on a host of this process's own within 127.64.0.0/10: the ports that the kernel
--- a/crates/range/src/clients.rs
+++ b/crates/testbed/src/clients.rs
@@ -54,7 +54,7 @@
     async fn client(self: Arc<Self>, request: u32, arrival: Arrival) {
         let mut random = self.plan.seed.stream("client", request.into());
         let (dest, class) = (arrival.dest, arrival.class);
-        // The time of the plan counts, not that at which the range came to it.
+        // The time of the plan counts, not that at which the testbed came to it.
         let planned = self.from + arrival.at;
         self.ground.ledger.note(What::Asked { request, sender: arrival.sender, dest, class, planned });
         let due = planned + self.plan.terms.classes[class].deadline;
--- a/crates/range/src/endpoints.rs
+++ b/crates/testbed/src/endpoints.rs
@@ -44,7 +44,7 @@
     pub ledger: Arc<Ledger>,
     pub lateness: Arc<Lateness>,
     pub messages: Arc<Messages>,
-    /// Why the play says nothing of the senders, where something of the range's own went wrong.
+    /// Why the play says nothing of the senders, where something of the testbed's own went wrong.
     pub void: mpsc::UnboundedSender<String>,
 }
 
--- a/crates/range/src/lateness.rs
+++ b/crates/testbed/src/lateness.rs
@@ -1,4 +1,4 @@
-//! How late the range itself was: what it did at a planned time is measured against that time.
+//! How late the testbed itself was: what it did at a planned time is measured against that time.
 use crate::clock::{Ns, MS};
 use hdrhistogram::Histogram;
 use std::sync::Mutex;
--- a/crates/range/src/machine.rs
+++ b/crates/testbed/src/machine.rs
@@ -4,7 +4,7 @@
 
 /// Share of the processors that a play may keep busy and still be on time: bursts go far above the mean.
 const ROOM: f64 = 0.6;
-/// Descriptors that the range needs for each link besides its listener: a connection, which not all have at a time,
+/// Descriptors that the testbed needs for each link besides its listener: a connection, which not all have at a time,
 /// while those under relay have three.
 const PER_LINK: u64 = 1;
 /// Descriptors for files, pipes and timers.
--- a/crates/range/src/platform/destination.rs
+++ b/crates/testbed/src/platform/destination.rs
@@ -23,7 +23,7 @@
 /// An endpoint that drains refuses new calls from then on; until then it does them a favour.
 const DRAIN_GRACE: Ns = 8 * SECOND;
 
-/// The range's number for a call.
+/// The testbed's number for a call.
 pub type CallNo = u64;
 
 #[derive(Clone, Debug)]
--- a/crates/range/src/play.rs
+++ b/crates/testbed/src/play.rs
@@ -76,7 +76,7 @@
     pub breaks: Vec<Break>,
     /// Why the play says nothing of the senders, if it does not.
     pub void: Option<String>,
-    /// How late the range itself was, in milliseconds.
+    /// How late the testbed itself was, in milliseconds.
     pub lateness_p99_ms: f64,
     /// About how many senders of this traffic each the machine can hold; none in simulated time.
     pub holds: Option<usize>,
@@ -160,7 +160,7 @@
         Ok(why) => Some(why),
         Err(_) if late > lateness::BOUND => {
             let bound = lateness::BOUND / MS;
-            Some(format!("the range was late itself: p99 {} ms, {bound} ms at most", late / MS))
+            Some(format!("the testbed was late itself: p99 {} ms, {bound} ms at most", late / MS))
         }
         Err(_) => None,
     };
--- a/crates/range/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -1,4 +1,4 @@
-//! Senders as child processes: each in a process group of its own, killed by the kernel where the range dies, its
+//! Senders as child processes: each in a process group of its own, killed by the kernel where the testbed dies, its
 //! log kept up to a bound.
 use crate::addresses;
 use crate::endpoints::Ground;
@@ -56,7 +56,7 @@
     Ready,
 }
 
-/// One sender: its place in the range, which outlasts its processes.
+/// One sender: its place in the testbed, which outlasts its processes.
 pub struct Sender {
     number: u32,
     program: PathBuf,
--- a/crates/range/src/report/page.rs
+++ b/crates/testbed/src/report/page.rs
@@ -104,7 +104,7 @@
                 v.service.whole, v.service.worst_window, v.service.worst_class, v.service.prices))
             (v.counts.calls) " calls, " (v.counts.over_limit) " of them above a limit; "
             (v.counts.connections) " connections; " (v.counts.probes) " probes. "
-            (format!("The range was late by {:.1} ms at its 99th percentile.", v.lateness_p99_ms))
+            (format!("The testbed was late by {:.1} ms at its 99th percentile.", v.lateness_p99_ms))
         }
     }
 }
--- a/crates/range/src/sim/world/lists.rs
+++ b/crates/testbed/src/sim/world/lists.rs
@@ -5,8 +5,8 @@
 use crate::platform::list::{Entry, Lifecycle, Told};
 use crate::sim::senders::Process;
 use crate::spec::Link;
-use sender::api::{self, Event};
 use rand::RngExt;
+use sender::api::{self, Event};
 
 impl World<'_> {
     pub(super) fn change(&mut self, endpoint: u32, lifecycle: Lifecycle) {
--- a/crates/range/src/sim/world/mod.rs
+++ b/crates/testbed/src/sim/world/mod.rs
@@ -18,8 +18,8 @@
 use crate::relay::shape::Lane;
 use crate::relay::Condition;
 use crate::spec::{Folder, Kind, Link};
-use sender::api::{Event, MsgId, Outcome};
 use rand_chacha::ChaCha8Rng;
+use sender::api::{Event, MsgId, Outcome};
 use std::collections::{BTreeMap, HashMap};
 
 /// A client's patience, and what it takes a process to be ready and, after SIGTERM, to end (as seen of the sender).
--- a/crates/range/src/sim/world/processes.rs
+++ b/crates/testbed/src/sim/world/processes.rs
@@ -6,8 +6,8 @@
 use crate::sim::network::{Call, WAY};
 use crate::sim::senders::{self, Process};
 use crate::spec::Folder;
-use sender::api::{Action, Event, MsgId, Outcome};
 use rand::Rng;
+use sender::api::{Action, Event, MsgId, Outcome};
 
 impl World<'_> {
     /// Has a sender decide, at this time, on all that has come to it.
--- a/crates/range/src/strangers.rs
+++ b/crates/testbed/src/strangers.rs
@@ -20,7 +20,7 @@
 const OWED_MUCH: Ns = 6 * SECOND;
 /// How long a stranger waits before it gives up for good.
 const WAITS: Duration = Duration::from_secs(9);
-/// Bytes that one with much to send sends; the terms speak of 60 MB, which a range would only spend time on.
+/// Bytes that one with much to send sends; the terms speak of 60 MB, which a testbed would only spend time on.
 const MUCH: usize = 4 << 20;
 
 /// What a stranger does with its connection.
--- a/crates/range/tests/judge.rs
+++ b/crates/testbed/tests/judge.rs
@@ -1,12 +1,12 @@
 //! Each rule of the judge: a ledger that keeps them all, and one edit of it for each rule that breaks just that one.
-use range::clock::{Ns, MS, SECOND};
-use range::judge::{breaks, Rule};
-use range::ledger::{Fact, Heard, Life, Notice, Reply, What};
-use range::plan::{classes, Terms, BOOKING, RATE_PUSH};
-use range::platform::destination::Refusal;
-use range::platform::list::Lifecycle;
-use range::spec::Kind;
 use std::collections::BTreeSet;
+use testbed::clock::{Ns, MS, SECOND};
+use testbed::judge::{breaks, Rule};
+use testbed::ledger::{Fact, Heard, Life, Notice, Reply, What};
+use testbed::plan::{classes, Terms, BOOKING, RATE_PUSH};
+use testbed::platform::destination::Refusal;
+use testbed::platform::list::Lifecycle;
+use testbed::spec::Kind;
 
 const SENDER: u32 = 0;
 /// Endpoints 0 and 1 are destination 0's, endpoint 2 is destination 1's.
--- a/crates/range/tests/play.rs
+++ b/crates/testbed/tests/play.rs
@@ -1,14 +1,14 @@
-//! Whole plays: real senders as processes, and what a range does with those that misbehave.
-use range::judge::Rule;
-use range::ledger::{Life, What};
-use range::plan::Plan;
-use range::play::{play, Played, Progress};
-use range::program;
-use range::seed::Seed;
-use range::spec::{Kind, Spec};
+//! Whole plays: real senders as processes, and what a testbed does with those that misbehave.
 use std::collections::BTreeSet;
 use std::path::Path;
 use std::sync::Arc;
+use testbed::judge::Rule;
+use testbed::ledger::{Life, What};
+use testbed::plan::Plan;
+use testbed::play::{play, Played, Progress};
+use testbed::program;
+use testbed::seed::Seed;
+use testbed::spec::{Kind, Spec};
 use tokio::sync::watch;
 
 fn played_by(program: &Path, text: &str, seed: u64) -> Played {
--- a/crates/range/tests/relay.rs
+++ b/crates/testbed/tests/relay.rs
@@ -1,9 +1,9 @@
 //! The relay on sockets: what a cut, a break, a delay and little bandwidth look like to those at its ends.
-use range::clock::{Clock, MS};
-use range::relay::shape::Shape;
-use range::relay::{Condition, Tcp, Udp};
-use range::seed::Seed;
 use std::time::Duration;
+use testbed::clock::{Clock, MS};
+use testbed::relay::shape::Shape;
+use testbed::relay::{Condition, Tcp, Udp};
+use testbed::seed::Seed;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::watch;
--- a/crates/range/tests/sim.rs
+++ b/crates/testbed/tests/sim.rs
@@ -1,11 +1,11 @@
 //! Simulated time: the module alone, at the size of a fleet.
-use range::ledger::{Life, What};
-use range::plan::Plan;
-use range::seed::Seed;
-use range::sim::{simulate, Simulated};
-use range::spec::Spec;
 use std::collections::HashMap;
 use std::path::Path;
+use testbed::ledger::{Life, What};
+use testbed::plan::Plan;
+use testbed::seed::Seed;
+use testbed::sim::{simulate, Simulated};
+use testbed::spec::Spec;
 
 fn simulated(text: &str, seed: u64) -> Simulated {
     let spec = Spec::parse(Path::new("test.toml"), text).expect("the experiment is valid");
--- a/src/bin/sender/handover.rs
+++ b/src/bin/sender/handover.rs
@@ -11,12 +11,12 @@
 use crate::owner::Owner;
 use crate::server::{Moved, Server};
 use bytes::Bytes;
-use sender::api::{AttemptEnd, Outcome};
-use sender::records::Taken;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
 };
+use sender::api::{AttemptEnd, Outcome};
+use sender::records::Taken;
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
 use std::fs::File;
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -1,7 +1,7 @@
 //! What a sender owes outlasts its process, damage of its files, and a change of their format.
 mod peers;
-use sender::records::folder;
 use peers::*;
+use sender::records::folder;
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
