--- a/crates/testbed/src/sim/senders.rs
+++ b/crates/testbed/src/sim/senders.rs
@@ -4,7 +4,7 @@
 use crate::ledger::MessageId;
 use crate::plan::Plan;
 use sender::api::{Action, Event, Message, MsgId, PastAttempt, Settings};
-use sender::rules;
+use sender::policy;
 use sender::settings;
 use std::collections::BTreeMap;
 
@@ -43,7 +43,7 @@
 
 pub struct Sender {
     settings: Settings,
-    module: rules::Sender,
+    module: policy::Sender,
     pub process: Process,
     /// Raised with each start, so that what an earlier process asked for reaches no later one.
     pub life: u32,
@@ -59,7 +59,7 @@
     pub fn new(plan: &Plan, number: usize) -> Result<Sender, SimError> {
         let (settings, _) = settings::read(&plan.settings(number)).map_err(SimError::Settings)?;
         Ok(Sender {
-            module: rules::Sender::new(settings.clone(), 0),
+            module: policy::Sender::new(settings.clone(), 0),
             settings,
             process: Process::Down,
             life: 0,
@@ -73,7 +73,7 @@
 
     /// A new process with the list as it knows it; what the journal holds is taken up.
     pub fn start(&mut self, now: Ns, seed: u64, list: Event) {
-        self.module = rules::Sender::new(self.settings.clone(), seed);
+        self.module = policy::Sender::new(self.settings.clone(), seed);
         self.process = Process::Up;
         self.life += 1;
         self.timer = None;
--- a/src/bin/sender/learned.rs
+++ b/src/bin/sender/learned.rs
@@ -2,7 +2,7 @@
 //! one that need not learn it anew. It is written to the side and renamed; one that does not suit is left, and told.
 use crate::config::Config;
 use sender::api::Ns;
-use sender::rules::Sender;
+use sender::policy::Sender;
 use serde::{Deserialize, Serialize};
 use std::fs;
 use std::io;
--- a/src/bin/simulator-adapter/host.rs
+++ b/src/bin/simulator-adapter/host.rs
@@ -1,6 +1,6 @@
 //! Wire lines to `api` events for each sender, and its actions back to lines.
 use sender::api::*;
-use sender::rules::Sender;
+use sender::policy::Sender;
 use sender::settings::{self, Around};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,6 @@
 #![doc = include_str!("../README.md")]
 pub mod api;
+pub mod policy;
 pub mod records;
-pub mod rules;
 pub mod settings;
 mod state;
--- a/src/rules.rs
+++ b/src/policy/mod.rs
@@ -5,12 +5,19 @@
 //! the cap a message goes, else it is held; what was held too long is refused once `ROOM` is used up.
 //! Around it: a pace for rate limits, one state of doubt per route for outages, the guards of the six rules.
 
+mod caps;
+mod listed;
+mod stat;
+
 use crate::api::*;
 use crate::state::*;
+use caps::{choose_cap, patience, top};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::mem::take;
 
+pub(crate) use stat::Stat;
+
 /// How often caps are chosen, held messages swept and overdue calls noticed (the paper's control rate).
 const PERIOD: Ns = 100 * MS;
 /// The paper's admission wait: this or 10% of the expected run time, whichever is longer.
@@ -70,56 +77,6 @@
 /// All senders together call a second at least so often, to notice that a destination is back.
 const LEAST: f64 = 0.15;
 
-/// Aged count, mean and deviation.
-#[derive(Clone, Copy, Default, Serialize, Deserialize)]
-pub(crate) struct Stat {
-    weight: f64,
-    sum: f64,
-    squares: f64,
-    at: Ns,
-}
-
-impl Stat {
-    fn aged(&self, now: Ns) -> f64 {
-        self.weight * (-((now - self.at).max(0) as f64) / HALF_LIFE).exp2()
-    }
-    fn book(&mut self, now: Ns, x: f64) {
-        let keep = if self.weight > 0.0 { self.aged(now) / self.weight } else { 0.0 };
-        let (sum, squares) = (self.sum * keep + x, self.squares * keep + x * x);
-        *self = Stat { weight: self.weight * keep + 1.0, sum, squares, at: now };
-    }
-    fn is_new(&self) -> bool {
-        self.weight <= 0.0
-    }
-    fn mean(&self) -> f64 {
-        self.sum / self.weight.max(1e-9)
-    }
-    fn bound(&self, deviations: f64) -> f64 {
-        let variance = (self.squares / self.weight.max(1e-9) - self.mean() * self.mean()).max(0.0);
-        self.mean() + deviations * variance.sqrt()
-    }
-}
-
-impl Use {
-    fn since(at: Ns) -> Use {
-        Use { at, ..Use::default() }
-    }
-    fn book(&mut self, now: Ns) {
-        self.age(now);
-        self.sum += 1.0;
-    }
-    fn age(&mut self, now: Ns) {
-        let keep = (-((now - self.at).max(0) as f64) / USE_SPAN).exp();
-        self.sum *= keep;
-        self.span = self.span * keep + USE_SPAN * (1.0 - keep);
-        self.at = now;
-    }
-    /// Calls a second; what was seen for less than a second counts as seen for one.
-    fn rate(&self) -> f64 {
-        self.sum * 1e9 / self.span.max(SECOND as f64)
-    }
-}
-
 impl Route {
     /// The limit told by reports or the list, in calls a second of all senders; 0 where there is none.
     fn told(&self) -> f64 {
@@ -361,29 +318,6 @@
         }
     }
 
-    /// Drops what the list no longer names and nothing depends on: calls out, a told wait, an outage seen.
-    fn forget(&mut self) {
-        let (now, cold) = (self.now, self.cfg.cold);
-        self.endpoints
-            .retain(|_, e| e.listed || e.in_flight > 0 || e.back_at.is_some_and(|at| now - at <= cold));
-        let endpoints = &self.endpoints;
-        let named: BTreeSet<RouteId> = endpoints.keys().map(|&e| self.route_of(e)).collect();
-        self.routes.retain(|id, r| {
-            let seen = r.back_at.max(r.next_trial).max(r.wait_until);
-            named.contains(id) || r.in_flight > 0 || now < seen.saturating_add(KEEP.max(self.cfg.cold))
-        });
-        let active = &self.active;
-        self.dests.retain(|id, dest| {
-            dest.places.retain(|e| endpoints.get(e).is_some_and(|e| e.dest == *id));
-            !dest.places.is_empty() || active.contains(id)
-        });
-        // What was held may have ended since its destination became due: nothing is left to look at there.
-        let dests = &self.dests;
-        self.agenda.retain(|(_, id)| dests.contains_key(id));
-        self.keys.retain(|_, turn| !turn.queue.is_empty() || turn.rest_until > now);
-        self.forgot_at = now;
-    }
-
     /// Sets when a destination is looked at next; it leaves the agenda while nothing is held for it.
     fn due(&mut self, id: DestId, at: Ns) {
         let Some(dest) = self.dests.get_mut(&id) else { return };
@@ -410,71 +344,6 @@
         self.due(dest_id, LONG_AGO);
     }
 
-    /// Follows the list. Draining and gone endpoints are unusable before anything of the batch is sent.
-    fn list(&mut self, whole: bool, entries: &[Entry]) {
-        if whole {
-            self.endpoints.values_mut().for_each(|e| (e.listed, e.usable) = (false, false));
-        }
-        for entry in entries {
-            let (dest, kind, zone) = (entry.dest, entry.kind, entry.zone);
-            // Each sender has an order of its own among equals: a fleet whose senders have a call out
-            // now and then would else send nearly all of them to the endpoint that its list names first.
-            let lot = (self.random() * f64::from(u32::MAX)) as u32;
-            let known = self.endpoints.entry(entry.endpoint).or_insert_with(|| Endpoint { lot, ..unused() });
-            (known.dest, known.kind, known.zone) = (dest, kind, zone);
-            known.listed = entry.condition == Condition::Ready;
-            known.usable = known.listed && !self.maint.contains(&entry.endpoint);
-            let id = self.route_of(entry.endpoint);
-            let route = self.routes.entry(id).or_insert_with(|| Route {
-                share: 1.0 / self.cfg.n_instances.clamp(1, FEW) as f64,
-                share_at: self.now,
-                tokens: 1.0,
-                filled_at: self.now,
-                sent: Use::since(self.now),
-                usual: Use::since(self.now),
-                ..Route::default()
-            });
-            let trust = if self.cfg.rough_hints { ROUGH } else { 1.0 };
-            let told = self.cfg.hints && entry.hint.is_finite();
-            route.hint = if told { entry.hint.max(0.0) * trust } else { 0.0 };
-            let dest = self.dest(entry.dest);
-            if !dest.places.contains(&entry.endpoint) {
-                dest.places.push(entry.endpoint);
-                dest.places.sort_unstable();
-            }
-            self.due(entry.dest, LONG_AGO);
-        }
-    }
-
-    /// Takes an endpoint out or puts it back. Only one that was out has been restarted.
-    fn maint(&mut self, endpoint: EndpointId, out: bool, at: Ns) {
-        let changed = if out { self.maint.insert(endpoint) } else { self.maint.remove(&endpoint) };
-        let known = self.endpoints.entry(endpoint).or_insert_with(unused);
-        known.usable = known.listed && !out;
-        if changed && !out {
-            (known.back_at, known.tokens, known.filled_at) = (Some(at.min(self.now)), 1.0, self.now);
-        }
-        let dest = known.dest;
-        self.due(dest, LONG_AGO);
-    }
-
-    fn dest(&mut self, id: DestId) -> &mut Dest {
-        let top = top(&self.cfg);
-        let classes = self.cfg.classes.len();
-        self.dests.entry(id).or_insert_with(|| Dest {
-            cap: top,
-            cells: vec![Stat::default(); classes * (top + 1)],
-            arrivals: vec![Stat::default(); classes],
-            ..Dest::default()
-        })
-    }
-
-    fn route_of(&self, endpoint: EndpointId) -> RouteId {
-        let e = &self.endpoints[&endpoint];
-        let separate = self.cfg.kinds.get(e.kind).is_some_and(|k| k.separate_routes);
-        (e.dest, if separate { endpoint } else { EndpointId::MAX })
-    }
-
     fn take(&mut self, message: Message) {
         if self.messages.contains_key(&message.id) || message.class >= self.cfg.classes.len() {
             return;
@@ -1154,11 +1023,6 @@
     }
 }
 
-/// An endpoint before anything is known of it.
-fn unused() -> Endpoint {
-    Endpoint { used_at: LONG_AGO, served_at: LONG_AGO, gap: Ns::MAX, ..Endpoint::default() }
-}
-
 /// The steady rate that holds an aged count at this weight.
 fn per_second(weight: f64) -> f64 {
     weight * std::f64::consts::LN_2 / (HALF_LIFE / 1e9)
@@ -1169,45 +1033,3 @@
 fn stale(cfg: &Settings) -> Ns {
     cfg.classes.iter().map(|c| c.aim).min().unwrap_or(SECOND).max(1)
 }
-
-/// Caps run from one to three quarters of the slots.
-fn top(cfg: &Settings) -> usize {
-    (cfg.slots * 3 / 4).max(1)
-}
-
-/// How long a call may be out before it is overdue.
-fn patience(cfg: &Settings, dest: &Dest, now: Ns) -> Ns {
-    let aim = cfg.classes.iter().map(|c| c.aim).max().unwrap_or(SECOND).max(LEAST_PATIENCE);
-    if dest.latency.aged(now) < MEASURED {
-        return aim;
-    }
-    (dest.latency.bound(PATIENCE) as Ns).clamp(LEAST_PATIENCE, aim)
-}
-
-/// The design's rule: the level with the best level x share of classes that meet their aim there.
-fn choose_cap(cfg: &Settings, dest: &mut Dest, now: Ns) {
-    let top = top(cfg);
-    let shares: Vec<f64> = dest.arrivals.iter().map(|a| a.aged(now)).collect();
-    let mut scores = vec![0.0; top + 1];
-    for (class, settings) in cfg.classes.iter().enumerate() {
-        let cells = &dest.cells[class * (top + 1)..(class + 1) * (top + 1)];
-        let measured: Vec<usize> = (1..=top).filter(|&l| cells[l].aged(now) >= MEASURED).collect();
-        for (level, score) in scores.iter_mut().enumerate().skip(1) {
-            // An unmeasured level borrows the nearest; an unmeasured class just meets its aim at the cap.
-            let meets = match measured.iter().min_by_key(|&&m| (m.abs_diff(level), m)) {
-                Some(&nearest) => cells[nearest].bound(1.0) < settings.aim as f64,
-                None => level <= dest.cap,
-            };
-            if meets {
-                *score += level as f64 * shares[class];
-            }
-        }
-    }
-    let best = (1..=top).max_by(|&a, &b| scores[a].total_cmp(&scores[b])).unwrap_or(1);
-    if scores[best] <= 0.0 && shares.iter().sum::<f64>() > MEASURED {
-        // Every class misses everywhere (hung): the paper would keep the cap; the slots are others' now.
-        dest.cap = 1;
-    } else if scores[best] > scores[dest.cap] * (1.0 + 1e-9) {
-        dest.cap = best;
-    }
-}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,8 +1,8 @@
 //! What a sender remembers: plain records, which pass to the next process in an upgrade. Every decision and
-//! every tuned value is in `rules.rs`.
+//! every tuned value is in `policy`.
 
 use crate::api::*;
-use crate::rules::Stat;
+use crate::policy::Stat;
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small stand for the module: settings, one sender, and the actions of its last call.
 #![allow(dead_code)]
 use sender::api::*;
-use sender::rules::Sender;
+use sender::policy::Sender;
 
 pub const T0: Ns = 1_000 * SECOND;
 
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -2,7 +2,7 @@
 mod common;
 use common::*;
 use sender::api::*;
-use sender::rules::Sender;
+use sender::policy::Sender;
 use std::collections::{BTreeMap, VecDeque};
 
 /// How a destination counts.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -620,7 +620,7 @@
     let mut times = Vec::new();
     for seed in 0..n as u64 {
         let cfg = Settings { n_instances: n, ..settings() };
-        let mut s = Stand { sender: sender::rules::Sender::new(cfg, seed), now: T0, actions: Vec::new() };
+        let mut s = Stand { sender: sender::policy::Sender::new(cfg, seed), now: T0, actions: Vec::new() };
         s.give(vec![Event::List { whole: true, entries: vec![entry(1, 1, 0)] }]);
         let report = Some(Report { left: 0.9, limit });
         // Three lost calls put it in doubt; then it is back, and everything is served at once.
@@ -800,7 +800,7 @@
     let mut again = Vec::new();
     for seed in 0..n as u64 {
         let fleet = Settings { n_instances: n, hints: true, ..settings() };
-        let mut s = Stand { sender: sender::rules::Sender::new(fleet, seed), now: T0, actions: Vec::new() };
+        let mut s = Stand { sender: sender::policy::Sender::new(fleet, seed), now: T0, actions: Vec::new() };
         s.give(vec![Event::List { whole: true, entries: vec![Entry { hint: 40.0, ..entry(1, 1, 0) }] }]);
         s.take(message(1, 1, 1));
         s.now += 50 * MS;
@@ -832,7 +832,7 @@
     let mut calls = [0; 3];
     for seed in 0..senders {
         let fleet = Settings { n_instances: senders as usize, ..settings() };
-        let mut s = Stand { sender: sender::rules::Sender::new(fleet, seed), now: T0, actions: Vec::new() };
+        let mut s = Stand { sender: sender::policy::Sender::new(fleet, seed), now: T0, actions: Vec::new() };
         let entries = vec![entry(1, 1, 0), entry(2, 1, 0), entry(3, 1, 0)];
         s.give(vec![Event::List { whole: true, entries }]);
         for (_, endpoint) in sends(&s.take(message(1, 1, 1))) {
--- a/tests/returns.rs
+++ b/tests/returns.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::*;
 use sender::api::*;
-use sender::rules::Sender;
+use sender::policy::Sender;
 use std::collections::BTreeMap;
 
 /// How calls fail while it is away.
