Move the core's inputs, the list and the handed-over state below their machinery

Seven files of the sender imported each other in a circle: Input and State stood in core.rs, the list in discovery.rs, what passes on of the client in client.rs. They are plain records, and now stand in input.rs, list.rs and process_state.rs, which import no machinery. By move alone: no behaviour changes.

--- a/src/bin/sender/client.rs
+++ b/src/bin/sender/client.rs
@@ -1,5 +1,6 @@
 //! Calls to endpoints: the connection pool, what is checked as a call is written, and how it ended.
-use crate::core::Input;
+use crate::input::Input;
+use crate::process_state::{Cancel, Known, Place};
 use base64::Engine;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -10,7 +11,6 @@
 use hyper_util::rt::TokioIo;
 use sender::api::{AttemptEnd, DestId, EndpointId, Ns, Outcome, Report, MS};
 use sender::records::Taken;
-use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -22,7 +22,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep_until, timeout, Instant};
 
@@ -234,25 +234,6 @@
     request
 }
 
-/// Set once the module calls an attempt off.
-#[derive(Default)]
-pub struct Cancel {
-    set: Cell<bool>,
-    notify: Notify,
-}
-
-impl Cancel {
-    pub fn set(&self) {
-        self.set.set(true);
-        self.notify.notify_one();
-    }
-    pub async fn wait(&self) {
-        while !self.set.get() {
-            self.notify.notified().await;
-        }
-    }
-}
-
 /// A message's part in a call.
 pub struct Member {
     pub attempt: u32,
@@ -265,22 +246,6 @@
     pub by: Instant,
 }
 
-/// What passes on in an upgrade.
-#[derive(Serialize, Deserialize)]
-pub struct Known {
-    places: HashMap<EndpointId, Place>,
-    /// Bounds on idle time with the age of each.
-    keeps: Vec<(EndpointId, Duration, Duration)>,
-}
-
-#[derive(Serialize, Deserialize, Clone)]
-struct Place {
-    address: SocketAddr,
-    route: (DestId, Option<EndpointId>),
-    /// The list says that it is ready.
-    listed: bool,
-}
-
 /// What an answer said.
 struct Answer {
     status: u16,
--- a/src/bin/sender/config.rs
+++ b/src/bin/sender/config.rs
@@ -1,5 +1,5 @@
 //! The environment and config.json, read at the start; discovery's address in the file again on SIGHUP.
-use crate::discovery::List;
+use crate::list::List;
 use sender::api::Settings;
 use sender::settings::{self, Around};
 use serde::Deserialize;
--- a/src/bin/sender/control.rs
+++ b/src/bin/sender/control.rs
@@ -2,7 +2,7 @@
 //!
 //! One call a connection, with few places of its own: a caller that finishes nothing loses its place to the
 //! next one, so that it keeps nobody out. The core answers; nothing is decided here.
-use crate::core::{Change, Input};
+use crate::input::{Change, Input};
 use crate::server::{plain, wrong_method};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
--- a/src/bin/sender/core.rs
+++ b/src/bin/sender/core.rs
@@ -1,16 +1,17 @@
 //! The one owner of the module: events in, one round of decisions, actions out. It decides nothing itself.
-use crate::client::{self, Cancel, Client, Known, Member};
+use crate::client::{self, Client, Member};
 use crate::config::Config;
-use crate::discovery::List;
+use crate::input::{Change, Input, Reply};
 use crate::journal::Journal;
 use crate::learned::{Learned, Snapshot};
+use crate::list::List;
 use crate::maint::Maint;
 use crate::notices::Notice;
+use crate::process_state::{Cancel, Out, Rest, State};
 use sender::api::*;
 use sender::policy::Sender;
 use sender::records::{wall_ms, Begun, Ending, Record, Taken};
 use sender::settings::Around;
-use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -19,87 +20,6 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep_until, timeout, Instant};
 
-/// What a client is answered.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub enum Reply {
-    TakenOn,
-    /// Handing it in again is harmless; after how long, if that is known.
-    Refused(Option<Duration>),
-    Failed,
-}
-
-/// What became of an operator's call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Change {
-    /// It holds from now on, also for the processes to come.
-    Done,
-    /// No list has named that endpoint.
-    Unknown,
-    /// It could not be written down.
-    NotKept,
-}
-
-pub enum Input {
-    /// Whether messages can be taken and delivered.
-    Health(oneshot::Sender<bool>),
-    /// Operators take an endpoint out, or put it back.
-    Maint {
-        name: String,
-        out: bool,
-        reply: oneshot::Sender<Change>,
-    },
-    /// A message handed in; `taken.id` is given by the core.
-    Offer {
-        taken: Taken,
-        end: Instant,
-        reply: oneshot::Sender<Reply>,
-    },
-    List(List),
-    Ended(Vec<AttemptEnd>),
-    Probed {
-        endpoint: EndpointId,
-        outcome: Outcome,
-        report: Option<Report>,
-    },
-    /// The platform has answered for these notices.
-    Noticed(Vec<u64>),
-    /// Another process takes over: end the round and give up everything. None: not now.
-    HandOver(oneshot::Sender<Option<State>>),
-    /// No client can come any more: end once nothing is left to do, and start nothing new after this time.
-    Wind(Instant),
-}
-
-/// All that the next process needs besides the journal.
-#[derive(Serialize, Deserialize)]
-pub struct State {
-    /// With other settings it can't be used.
-    settings: String,
-    module: Sender,
-    /// The module's time at a Unix time in nanoseconds: its clock goes on.
-    clock: (Ns, u64),
-    endpoints: Vec<(String, usize)>,
-    /// Messages not ended, by number, with the end of their time and their attempts so far.
-    held: BTreeMap<u64, (Ns, u32)>,
-    /// Calls out.
-    pub calls: Vec<(u64, u32, EndpointId)>,
-    next_id: u64,
-    client: Known,
-}
-
-/// What is left to the process that has handed over: calls out, and who may still come.
-pub struct Rest {
-    pub inbox: mpsc::Receiver<Input>,
-    pub asks: mpsc::Receiver<Input>,
-    pub calls: HashMap<(u64, u32), Out>,
-}
-
-/// One message's part in a call that is out.
-#[derive(Clone)]
-pub struct Out {
-    pub endpoint: EndpointId,
-    pub cancel: Rc<Cancel>,
-}
-
 /// How the core's work ended.
 pub enum Stop {
     /// By itself after `Wind`, or as nobody is left to tell it anything.
--- a/src/bin/sender/handover.rs
+++ b/src/bin/sender/handover.rs
@@ -7,8 +7,9 @@
 //! it. Should the new process die, the old one starts over from the journal; should the old one die, what it
 //! had out is a broken connection to the new one.
 use crate::client::end_of;
-use crate::core::{Change, Input, Out, Reply, Rest, State};
+use crate::input::{Change, Input, Reply};
 use crate::owner::Owner;
+use crate::process_state::{Out, Rest, State};
 use crate::server::{Moved, Server};
 use bytes::Bytes;
 use rustix::net::{
--- a/src/bin/sender/main.rs
+++ b/src/bin/sender/main.rs
@@ -5,12 +5,15 @@
 mod core;
 mod discovery;
 mod handover;
+mod input;
 mod journal;
 mod learned;
 mod linger;
+mod list;
 mod maint;
 mod notices;
 mod owner;
+mod process_state;
 mod server;
 
 use sender::api::MS;
@@ -209,7 +212,7 @@
             ended = &mut core => return Err(format!("the core ended: {:?}", ended.map(|_| ()))),
             next = handover::asked(door.as_ref()) => {
                 let (reply, state) = oneshot::channel();
-                let _ = asks_in.send(core::Input::HandOver(reply)).await;
+                let _ = asks_in.send(input::Input::HandOver(reply)).await;
                 if let Ok(Some(state)) = state.await {
                     break Some((next, state));
                 }
@@ -245,7 +248,7 @@
         }
     };
     let _ = timeout(CLIENTS_GONE - ACCEPT_ON, gone).await;
-    let _ = core_in.send(core::Input::Wind(told + BEGIN_ON)).await;
+    let _ = core_in.send(input::Input::Wind(told + BEGIN_ON)).await;
     let _ = timeout_at(told + END, core_in.closed()).await;
     // What the core did not take any more is refused; that answer still has to be written.
     let answered = async {
--- a/src/bin/sender/notices.rs
+++ b/src/bin/sender/notices.rs
@@ -1,6 +1,6 @@
 //! Notices to the platform: how messages ended that were taken on and not delivered.
 use crate::client::{self, Connection};
-use crate::core::Input;
+use crate::input::Input;
 use sender::records::Ending;
 use serde_json::json;
 use std::net::SocketAddr;
--- a/src/bin/sender/server.rs
+++ b/src/bin/sender/server.rs
@@ -1,6 +1,6 @@
 //! Clients in: takes requests, checks their form, and hands them to the core.
 use crate::client::MAX_BODY;
-use crate::core::{Input, Reply};
+use crate::input::{Input, Reply};
 use crate::linger;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
