Stream the configuration's known list within the catalogue's bounds

The whole file was read as a text and its list into JSON values, at the start and again on SIGHUP: at 350,000 destinations some 46 MB of text and hundreds of MB of values. Now the list is read over in the first pass, and taken from the file as a stream into a catalogue in a second one, at the start only; SIGHUP reads a long file on another thread. `catalogue.max_entries` and `catalogue.max_mb` bound it (default: three eighths of limits.memory_mb). A list that can't be used is an error in the log with both figures and counts as none.

--- a/src/bin/sender/config.rs
+++ b/src/bin/sender/config.rs
@@ -1,17 +1,59 @@
 //! The environment and config.json, read at the start; discovery's address in the file again on SIGHUP.
-use crate::list::List;
+use catalogue::intake;
+use catalogue::Catalogue;
 use sender::api::Settings;
 use sender::settings::{self, Around};
 use serde::Deserialize;
 use serde_json::Value;
+use std::fs::File;
+use std::io::BufReader;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+/// Memory of a sender whose configuration names none.
+const DEFAULT_MEMORY_MB: f64 = 64.0;
+const MB: f64 = (1 << 20) as f64;
+/// The member of the file that holds the list as this sender last had it.
+const KNOWN: &str = "known";
+/// A file of at most so many bytes is read again at once, a longer one on another thread.
+const SHORT_FILE: u64 = 64 << 10;
+
 #[derive(Deserialize, Clone)]
 pub struct Limits {
     pub sockets: usize,
     pub disk_mb: f64,
+    pub memory_mb: Option<f64>,
+}
+
+/// `catalogue` in the file: bounds on the list of endpoints.
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields)]
+struct CatalogueBounds {
+    max_entries: Option<u64>,
+    max_mb: Option<f64>,
+}
+
+impl CatalogueBounds {
+    /// The bounds where `memory_mb` is what the whole sender may use.
+    fn limits(&self, memory_mb: f64) -> Result<catalogue::Limits, String> {
+        let mut limits = catalogue::Limits::of_memory((memory_mb * MB) as usize);
+        match self.max_entries {
+            Some(0) => return Err("catalogue.max_entries: has to be at least 1".into()),
+            Some(entries) => limits.max_entries = usize::try_from(entries).unwrap_or(usize::MAX),
+            None => {}
+        }
+        match self.max_mb {
+            Some(mb) if !(mb > 0.0 && mb <= memory_mb) => {
+                return Err(format!(
+                    "catalogue.max_mb: has to be above 0 and at most limits.memory_mb, {memory_mb}"
+                ));
+            }
+            Some(mb) => limits.max_bytes = (mb * MB) as usize,
+            None => {}
+        }
+        Ok(limits)
+    }
 }
 
 /// When what is written down has to be on disk.
@@ -64,8 +106,9 @@
     }
 }
 
+/// The file but for the list `known`, which is read over here.
 #[derive(Deserialize)]
-struct File {
+struct Contents {
     name: Option<String>,
     #[serde(default)]
     store: Store,
@@ -75,7 +118,7 @@
     seed: Option<Value>,
     limits: Limits,
     #[serde(default)]
-    known: List,
+    catalogue: CatalogueBounds,
     settings: Value,
 }
 
@@ -93,7 +136,8 @@
     pub state: PathBuf,
     pub seed: u64,
     pub limits: Limits,
-    pub known: List,
+    /// Bounds on the list of endpoints.
+    pub catalogue: catalogue::Limits,
     pub settings: Settings,
     /// The settings as they stand in the file.
     pub told: String,
@@ -104,11 +148,37 @@
     std::env::var(name).ok().filter(|v| !v.is_empty())
 }
 
-fn file() -> Result<(String, File), String> {
-    let path = var("EDGE_CONFIG").ok_or("EDGE_CONFIG is not set")?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
-    let file = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
-    Ok((path, file))
+fn path() -> Result<String, String> {
+    var("EDGE_CONFIG").ok_or("EDGE_CONFIG is not set".into())
+}
+
+fn file() -> Result<(String, Contents), String> {
+    let path = path()?;
+    let opened = File::open(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
+    let contents = serde_json::from_reader(BufReader::new(opened)).map_err(|e| format!("{path}: {e}"))?;
+    Ok((path, contents))
+}
+
+/// The list of endpoints as this sender last had it, read as a stream. One that can't be used counts as none.
+pub fn known(limits: &catalogue::Limits) -> Catalogue {
+    let read = path().and_then(|path| read_known(path.as_ref(), limits));
+    read.unwrap_or_else(|error| {
+        tracing::error!(%error, "the list in the configuration can't be used; going on without it");
+        Catalogue::default()
+    })
+}
+
+fn read_known(path: &Path, limits: &catalogue::Limits) -> Result<Catalogue, String> {
+    let opened = File::open(path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
+    let taken = intake::read_member(opened, KNOWN, limits);
+    let taken = taken.map_err(|e| format!("{}: {KNOWN}: {e}", path.display()))?;
+    let Some(taken) = taken else { return Ok(Catalogue::default()) };
+    if taken.unreadable > 0 {
+        tracing::warn!(entries = taken.unreadable, "entries of the list in the configuration can't be read");
+    }
+    // A list that names nothing is none: its generation says nothing of the list to come.
+    let named = !taken.catalogue.is_empty();
+    Ok(if named { taken.catalogue } else { Catalogue::default() })
 }
 
 fn address(name: &str, text: Option<String>) -> Result<SocketAddr, String> {
@@ -121,12 +191,24 @@
     address("EDGE_DISCOVERY", file()?.1.discovery.or_else(|| var("EDGE_DISCOVERY")))
 }
 
+/// The same, without a hold of the caller for as long as a long file takes.
+pub async fn discovery_again() -> Result<SocketAddr, String> {
+    let length = path().and_then(|p| std::fs::metadata(p).map_err(|e| e.to_string()))?.len();
+    if length <= SHORT_FILE {
+        return discovery();
+    }
+    let read = tokio::task::spawn_blocking(discovery).await;
+    read.unwrap_or_else(|e| Err(e.to_string()))
+}
+
 pub fn read() -> Result<Config, String> {
     let (path, file) = file()?;
     let (settings, around) = settings::read(&file.settings).map_err(|e| format!("{path}: settings: {e}"))?;
     let control = var("EDGE_CONTROL").or(file.control);
     let sync = file.store.sync().map_err(|e| format!("{path}: {e}"))?;
     let learned = file.store.learned().map_err(|e| format!("{path}: {e}"))?;
+    let memory_mb = file.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
+    let catalogue = file.catalogue.limits(memory_mb).map_err(|e| format!("{path}: {e}"))?;
     Ok(Config {
         name: short(var("EDGE_NAME").or(file.name).unwrap_or_default()),
         sync,
@@ -137,7 +219,7 @@
         state: var("EDGE_STATE").ok_or("EDGE_STATE is not set")?.into(),
         seed: file.seed.as_ref().map_or(0, seed),
         limits: file.limits,
-        known: file.known,
+        catalogue,
         settings,
         told: file.settings.to_string(),
         around,
@@ -160,3 +242,6 @@
     let text = value.as_str().map_or_else(|| value.to_string(), str::to_string);
     u64::from_str_radix(&text, 16).unwrap_or_else(|_| crc32fast::hash(text.as_bytes()).into())
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/bin/sender/core.rs
+++ b/src/bin/sender/core.rs
@@ -4,10 +4,11 @@
 use crate::input::{Change, Input, Reply};
 use crate::journal::Journal;
 use crate::learned::{Learned, Snapshot};
-use crate::list::List;
+use crate::list::Instance;
 use crate::maint::Maint;
 use crate::notices::Notice;
 use crate::process_state::{Cancel, Out, Rest, State};
+use catalogue::Catalogue;
 use sender::api::*;
 use sender::policy::Sender;
 use sender::records::{wall_ms, Begun, Ending, Record, Taken};
@@ -201,18 +202,18 @@
 
     /// Takes up what the process before has handed over, or else what the journal holds. `known` may be old, so
     /// a fresh list is waited for, but not for long.
-    pub async fn resume(&mut self, known: List, state: Option<State>) {
+    pub async fn resume(&mut self, known: Catalogue, state: Option<State>) {
         let handed = state.and_then(|state| self.take_over(state));
         if handed.is_none() {
             self.take_up_learned();
         }
         let mut events = self.taken_out();
         if handed.is_none() {
-            events.push(self.list(known, true));
+            let instances = known.ids().filter_map(|id| known.get(id)).map(Instance::from);
+            events.push(self.list(true, instances));
             let first = timeout(FIRST_LIST, self.inbox.recv()).await;
             if let Ok(Some(Input::List(list))) = first {
-                let whole = list.reset;
-                events.push(self.list(list, whole));
+                events.push(self.list(list.reset, list.instances()));
             }
         }
         let handed = handed.unwrap_or_default();
@@ -430,12 +431,12 @@
         }
     }
 
-    fn list(&mut self, list: List, whole: bool) -> Event {
+    fn list(&mut self, whole: bool, instances: impl Iterator<Item = Instance>) -> Event {
         if whole {
             self.client.withdraw_all();
         }
         let mut entries = Vec::new();
-        for instance in list.instances() {
+        for instance in instances {
             let condition = match instance.lifecycle.as_str() {
                 "Ready" => Condition::Ready,
                 "Gone" => Condition::Gone,
@@ -467,8 +468,7 @@
             match input {
                 Input::Offer { taken, end, reply } => self.offer(taken, end, reply, &mut round),
                 Input::List(list) => {
-                    let whole = list.reset;
-                    round.events.push(self.list(list, whole));
+                    round.events.push(self.list(list.reset, list.instances()));
                 }
                 Input::Ended(ends) => {
                     for end in ends {
--- a/src/bin/sender/core/tests.rs
+++ b/src/bin/sender/core/tests.rs
@@ -154,8 +154,8 @@
         control: None,
         state: folder.to_path_buf(),
         seed: 1,
-        limits: config::Limits { sockets: 64, disk_mb: 3.0 },
-        known: List::default(),
+        limits: config::Limits { sockets: 64, disk_mb: 3.0, memory_mb: None },
+        catalogue: catalogue::Limits::of_memory(64 << 20),
         settings: read,
         told: settings.to_string(),
         around,
@@ -204,6 +204,11 @@
     }
 }
 
+fn read_list(list: &serde_json::Value) -> Catalogue {
+    let (bytes, limits) = (list.to_string(), catalogue::Limits::of_memory(64 << 20));
+    catalogue::intake::read(bytes.as_bytes(), &Catalogue::default(), &limits).unwrap().catalogue
+}
+
 /// A core that serves on such a disk: its inbox, its syncs, and the calls that its endpoint gets.
 async fn started(folder: &Path) -> (mpsc::Sender<Input>, Syncs, Rc<Cell<usize>>) {
     let syncs = Syncs::new();
@@ -218,7 +223,7 @@
     let mut core = Core::new(config, journal(folder, &syncs), maint, client, inbox, asks, notices);
     let list = json!({"generation": 1, "reset": true, "instances": [{"instanceId": "e-1", "hostPort": at.to_string(),
         "zone": "z", "machineType": "plain", "cell": 7, "lifecycle": "Ready", "weight": 1.0, "startedAtMs": 0}]});
-    core.resume(serde_json::from_value(list).unwrap(), None).await;
+    core.resume(read_list(&list), None).await;
     spawn_local(core.run());
     (core_in, syncs, calls)
 }
--- a/src/bin/sender/list.rs
+++ b/src/bin/sender/list.rs
@@ -25,12 +25,25 @@
     pub instances: Vec<Value>,
 }
 
-impl List {
-    /// The version, if it names anything.
-    pub fn version(&self) -> Option<u64> {
-        (!self.instances.is_empty()).then_some(self.generation)
+impl From<catalogue::Endpoint<'_>> for Instance {
+    fn from(endpoint: catalogue::Endpoint) -> Instance {
+        let lifecycle = match endpoint.lifecycle {
+            catalogue::Lifecycle::Ready => "Ready",
+            catalogue::Lifecycle::Draining => "Terminating",
+        };
+        Instance {
+            name: endpoint.name.to_string(),
+            address: endpoint.address,
+            zone: endpoint.zone.to_string(),
+            kind: endpoint.machine_type.to_string(),
+            dest: endpoint.destination,
+            lifecycle: lifecycle.to_string(),
+            weight: endpoint.weight,
+        }
     }
+}
 
+impl List {
     /// The entries that can be read; one that can't be does not cost the others.
     pub fn instances(&self) -> impl Iterator<Item = Instance> + '_ {
         self.instances.iter().filter_map(|v| {
--- a/src/bin/sender/main.rs
+++ b/src/bin/sender/main.rs
@@ -115,7 +115,7 @@
 }
 
 async fn run(
-    mut config: config::Config,
+    config: config::Config,
     signals: &mut Signals,
     kept: Option<std::net::TcpListener>,
 ) -> Result<End, String> {
@@ -126,6 +126,8 @@
     if let Some(at) = config.control {
         control.clone().listen(at).await?;
     }
+    // Before a process that runs is asked to hand over: nobody serves from then on until this one does.
+    let known = config::known(&config.catalogue);
     let claimed = tokio::select! {
         claimed = handover::claim(&folder) => claimed,
         () = signals.told() => return Ok(End::Told),
@@ -153,7 +155,7 @@
     let client = client::Client::new(core_in.clone(), settings.dial_timeout, settings.idle_close, calls);
     let client = Rc::new(client);
     spawn_local(client.clone().keep_pool());
-    let version = config.known.version();
+    let version = known.generation();
     let backoff = discovery::Backoff::new(settings.n_instances, config.seed);
     let (move_to, discovery) = watch::channel(config.discovery);
     let following = spawn_local(discovery::follow(discovery.clone(), core_in.clone(), backoff, version));
@@ -162,7 +164,7 @@
     let reloaded = move_to.clone();
     spawn_local(async move {
         while hangup.recv().await.is_some() {
-            match config::discovery() {
+            match config::discovery_again().await {
                 Ok(at) => {
                     tracing::info!(discovery = %at, "reloaded");
                     reloaded.send_replace(at);
@@ -171,7 +173,7 @@
             }
         }
     });
-    let (listen, known) = (config.listen, std::mem::take(&mut config.known));
+    let listen = config.listen;
     let around = config.around.clone();
     let effects = settings.classes.iter().map(|c| c.effect).collect();
     let mut core = core::Core::new(config, journal, maint, client, inbox, asks, notices_in);
