Take long lists in as a stream, on a thread started for that list

Bodies were held whole, 4 MiB at most, and parsed to JSON values on the loop: beyond some 30,000 endpoints the list was refused as "length limit exceeded" and fetched again at once, without end. Now the watch owns the catalogue. A body that breaks off, a call given up and a SIGHUP move are errors to the reader, never an end of file, and leave the old list in force. A list over its bounds is one error in the log with both figures, and is asked for again after 15 s at first, growing to 5 minutes.

--- a/src/bin/sender/client.rs
+++ b/src/bin/sender/client.rs
@@ -189,7 +189,8 @@
         self.sender.is_ready() && !self.task.is_finished()
     }
 
-    async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Fault> {
+    /// Sends a request; the answer's body is still to come.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Fault> {
         let before = self.written.get();
         self.first.take();
         self.sender.try_send_request(request).await.map_err(|mut e| match e.take_message() {
@@ -199,7 +200,7 @@
         })
     }
 
-    /// A whole exchange, for discovery and notices.
+    /// A whole exchange, for notices and probes.
     pub async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -207,10 +208,15 @@
     ) -> Result<(u16, HeaderMap, Bytes), Fault> {
         let (head, body) = self.send(request).await?.into_parts();
         let body = Limited::new(body, most).collect().await.map_err(|e| Fault::Broken(e.to_string()))?;
-        // Else the next request could find the connection still busy with the end of this answer.
-        let _ = timeout(TAIL, self.sender.ready()).await;
+        self.settle().await;
         Ok((head.status.as_u16(), head.headers, body.to_bytes()))
     }
+
+    /// Waits a little for the end of an answer whose body was read: else the next request could find the connection
+    /// still busy with it.
+    pub async fn settle(&mut self) {
+        let _ = timeout(TAIL, self.sender.ready()).await;
+    }
 }
 
 pub fn request(
--- a/src/bin/sender/core.rs
+++ b/src/bin/sender/core.rs
@@ -4,11 +4,10 @@
 use crate::input::{Change, Input, Reply};
 use crate::journal::Journal;
 use crate::learned::{Learned, Snapshot};
-use crate::list::Instance;
 use crate::maint::Maint;
 use crate::notices::Notice;
 use crate::process_state::{Cancel, Out, Rest, State};
-use catalogue::Catalogue;
+use catalogue::{intake, Catalogue, Endpoint, Lifecycle};
 use sender::api::*;
 use sender::policy::Sender;
 use sender::records::{wall_ms, Begun, Ending, Record, Taken};
@@ -75,6 +74,8 @@
     epoch: Ns,
     /// The settings as they were read, to compare with the next process's.
     told: String,
+    /// The list in force.
+    catalogue: Catalogue,
     names: HashMap<String, EndpointId>,
     /// Name and kind by number.
     endpoints: Vec<(String, usize)>,
@@ -135,6 +136,7 @@
             start: Instant::now(),
             epoch: CLOCK_START,
             told: config.told,
+            catalogue: Catalogue::default(),
             names: HashMap::new(),
             endpoints: Vec::new(),
             held: BTreeMap::new(),
@@ -209,11 +211,10 @@
         }
         let mut events = self.taken_out();
         if handed.is_none() {
-            let instances = known.ids().filter_map(|id| known.get(id)).map(Instance::from);
-            events.push(self.list(true, instances));
+            events.push(self.list(whole(known)));
             let first = timeout(FIRST_LIST, self.inbox.recv()).await;
-            if let Ok(Some(Input::List(list))) = first {
-                events.push(self.list(list.reset, list.instances()));
+            if let Ok(Some(Input::Catalogue(taken))) = first {
+                events.push(self.list(taken));
             }
         }
         let handed = handed.unwrap_or_default();
@@ -431,33 +432,40 @@
         }
     }
 
-    fn list(&mut self, whole: bool, instances: impl Iterator<Item = Instance>) -> Event {
+    /// Follows a list that was taken in.
+    fn list(&mut self, taken: intake::Taken) -> Event {
+        let before = std::mem::replace(&mut self.catalogue, taken.catalogue);
+        let now = self.catalogue.clone();
+        let whole = taken.reset;
+        let mut entries = Vec::new();
         if whole {
             self.client.withdraw_all();
+            entries.extend(now.ids().filter_map(|id| now.get(id)).map(|e| self.listed(&e, false)));
         }
-        let mut entries = Vec::new();
-        for instance in instances {
-            let condition = match instance.lifecycle.as_str() {
-                "Ready" => Condition::Ready,
-                "Gone" => Condition::Gone,
-                // Also what is not known: it gets nothing new.
-                _ => Condition::Draining,
-            };
-            let endpoint = self.number(&instance.name);
-            let kind = position(&self.around.kinds, &instance.kind).unwrap_or(usize::MAX);
-            self.endpoints[endpoint as usize].1 = kind;
-            let zone = position(&self.around.zones, &instance.zone).unwrap_or(usize::MAX);
-            let separate = self.settings.kinds.get(kind).is_some_and(|k| k.separate_routes);
-            let ready = condition == Condition::Ready;
-            self.client.place(endpoint, instance.address, instance.dest, separate, ready);
-            let (dest, hint) = (instance.dest, instance.weight);
-            let (name, zone_name, lifecycle) = (&instance.name, &instance.zone, &instance.lifecycle);
-            tracing::debug!(endpoint, name, dest, kind, zone_name, lifecycle, hint, "listed");
-            entries.push(Entry { endpoint, dest, kind, zone, condition, hint });
+        for id in taken.changed {
+            let gone = now.get(id).is_none();
+            let endpoint = now.get(id).or_else(|| before.get(id));
+            entries.extend(endpoint.map(|e| self.listed(&e, gone)));
         }
         Event::List { whole, entries }
     }
 
+    fn listed(&mut self, listed: &Endpoint, gone: bool) -> Entry {
+        let condition = match listed.lifecycle {
+            _ if gone => Condition::Gone,
+            Lifecycle::Ready => Condition::Ready,
+            Lifecycle::Draining => Condition::Draining,
+        };
+        let endpoint = self.number(listed.name);
+        let kind = position(&self.around.kinds, listed.machine_type).unwrap_or(usize::MAX);
+        self.endpoints[endpoint as usize].1 = kind;
+        let zone = position(&self.around.zones, listed.zone).unwrap_or(usize::MAX);
+        let separate = self.settings.kinds.get(kind).is_some_and(|k| k.separate_routes);
+        let (dest, hint) = (listed.destination, listed.weight);
+        self.client.place(endpoint, listed.address, dest, separate, condition == Condition::Ready);
+        Entry { endpoint, dest, kind, zone, condition, hint }
+    }
+
     /// One round: all that has come, the module's answer to it, one write, then the actions.
     async fn round(&mut self, inputs: Vec<Input>, events: Vec<Event>) {
         let at = Instant::now();
@@ -467,9 +475,7 @@
         for input in inputs {
             match input {
                 Input::Offer { taken, end, reply } => self.offer(taken, end, reply, &mut round),
-                Input::List(list) => {
-                    round.events.push(self.list(list.reset, list.instances()));
-                }
+                Input::Catalogue(taken) => round.events.push(self.list(taken)),
                 Input::Ended(ends) => {
                     for end in ends {
                         let ms = end.took / MS;
@@ -749,6 +755,12 @@
     Unsynced,
 }
 
+/// A catalogue as a list that replaces the one before.
+fn whole(catalogue: Catalogue) -> intake::Taken {
+    let (entries, generation) = (catalogue.len(), catalogue.generation().unwrap_or(0));
+    intake::Taken { catalogue, generation, reset: true, changed: Vec::new(), entries, unreadable: 0 }
+}
+
 fn wall_ns() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as u64)
 }
--- a/src/bin/sender/discovery/tests.rs
+++ b/src/bin/sender/discovery/tests.rs
@@ -87,3 +87,14 @@
     assert!(waits.iter().all(|w| (Duration::from_secs(12)..=Duration::from_secs(24)).contains(w)));
     assert!(waits.iter().any(|w| w.abs_diff(waits[0]) > Duration::from_secs(1)));
 }
+
+#[test]
+fn after_lists_over_their_bounds_the_pauses_grow_to_minutes_and_end_with_a_list_that_fits() {
+    let mut backoff = Backoff::new(1, 3);
+    let pauses: Vec<Duration> = (0..50).map(|_| backoff.after_refusal()).collect();
+    assert!(pauses[0] >= REFUSED_FIRST / 2 && pauses[0] <= REFUSED_FIRST, "{:?}", pauses[0]);
+    assert!(pauses[10..].iter().all(|p| (REFUSED_MOST / 2..=REFUSED_MOST).contains(p)), "{pauses:?}");
+    assert!(pauses[10..].iter().any(|p| *p != pauses[10]), "spread");
+    backoff.answered();
+    assert!(backoff.after_refusal() <= REFUSED_FIRST);
+}
--- a/src/bin/sender/input.rs
+++ b/src/bin/sender/input.rs
@@ -1,6 +1,6 @@
 //! What the core is told, and the answers that it gives.
-use crate::list::List;
 use crate::process_state::State;
+use catalogue::intake;
 use sender::api::{AttemptEnd, EndpointId, Outcome, Report};
 use sender::records::Taken;
 use serde::{Deserialize, Serialize};
@@ -43,7 +43,8 @@
         end: Instant,
         reply: oneshot::Sender<Reply>,
     },
-    List(List),
+    /// The list of endpoints has changed, or was read anew.
+    Catalogue(intake::Taken),
     Ended(Vec<AttemptEnd>),
     Probed {
         endpoint: EndpointId,
--- a/src/bin/sender/main.rs
+++ b/src/bin/sender/main.rs
@@ -1,4 +1,5 @@
 //! cairnpulley-sender: one real sender. Start, signals and wiring.
+mod body_channel;
 mod client;
 mod config;
 mod control;
@@ -9,7 +10,7 @@
 mod journal;
 mod learned;
 mod linger;
-mod list;
+mod list_intake;
 mod maint;
 mod notices;
 mod owner;
@@ -156,9 +157,11 @@
     let client = Rc::new(client);
     spawn_local(client.clone().keep_pool());
     let version = known.generation();
+    let intake = list_intake::ListIntake::new(known.clone(), config.catalogue);
     let backoff = discovery::Backoff::new(settings.n_instances, config.seed);
     let (move_to, discovery) = watch::channel(config.discovery);
-    let following = spawn_local(discovery::follow(discovery.clone(), core_in.clone(), backoff, version));
+    let following =
+        spawn_local(discovery::follow(discovery.clone(), core_in.clone(), backoff, intake, version));
     let noticing = spawn_local(notices::run(discovery, notices, core_in.clone()));
     let move_to = Rc::new(move_to);
     let reloaded = move_to.clone();
