Test of reading state from the version with dense latency cells

The fixture holds the state of three destinations after 20 s of traffic with 12 calls out, and the actions which that version took in the 15 s after it (rmp_serde::to_vec_named).

--- /dev/null
+++ b/tests/old_state.rs
@@ -0,0 +1,70 @@
+//! State that an earlier version of the module wrote is read, and goes on to the same decisions.
+mod common;
+use common::*;
+use sender::api::*;
+use sender::policy::Sender;
+use std::fmt::Write;
+
+/// Written by the version whose latency cells were one dense table a destination, with `rmp_serde::to_vec_named`.
+const DENSE_CELLS: &[u8] = include_bytes!("fixtures/dense_cells.msgpack");
+/// What that version went on to do: an action a line.
+const DENSE_CELLS_NEXT: &str = include_str!("fixtures/dense_cells_next.txt");
+
+/// Calls that were out: message and endpoint.
+const DENSE_CELLS_OUT: [(MsgId, EndpointId); 12] = [
+    (362, 3),
+    (368, 3),
+    (371, 3),
+    (372, 1),
+    (374, 3),
+    (375, 1),
+    (377, 3),
+    (381, 1),
+    (386, 3),
+    (389, 3),
+    (392, 3),
+    (395, 3),
+];
+const DESTINATIONS: u64 = 3;
+
+/// The answers to the calls that were out, a second after.
+fn answers_to_calls_out() -> Vec<(Ns, AttemptEnd)> {
+    let answer = |&(id, endpoint): &(MsgId, EndpointId)| {
+        (T0 + 21 * SECOND, AttemptEnd { took: SECOND, ..end(id, 0, endpoint, Outcome::Served) })
+    };
+    DENSE_CELLS_OUT.iter().map(answer).collect()
+}
+
+/// Plays traffic whose latency grows with the calls out; some calls fail, and some are out at the end.
+fn play(stand: &mut Stand, answers: &mut Vec<(Ns, AttemptEnd)>, from: MsgId, rounds: u64) -> String {
+    let mut text = String::new();
+    for round in 0..rounds {
+        stand.now += 50 * MS;
+        let now = stand.now;
+        let id = from + round;
+        let mut events = vec![Event::Timer];
+        events.push(Event::Message(message(id, 1 + id % DESTINATIONS, (id % 2) as usize)));
+        let due = answers.iter().filter(|(at, _)| *at <= now).map(|(_, e)| Event::AttemptEnd(*e));
+        events.extend(due);
+        answers.retain(|(at, _)| *at > now);
+        for action in stand.give(events) {
+            let _ = writeln!(text, "{now} {action:?}");
+            if let Action::Send { id, endpoint, .. } = action {
+                // Each message has one attempt: those that failed are taken back by their clients.
+                let outcome = if id % 29 == 0 { Outcome::ServerError } else { Outcome::Served };
+                let took = (100 + 150 * answers.len() as Ns + 7 * (id % 11) as Ns) * MS;
+                answers.push((now + took, AttemptEnd { took, done: true, ..end(id, 0, endpoint, outcome) }));
+            }
+        }
+    }
+    text
+}
+
+#[test]
+fn a_table_of_cells_is_read_and_decisions_go_on() {
+    let sender: Sender = rmp_serde::from_slice(DENSE_CELLS).expect("the fixture is read");
+    let cfg = Settings { max_open: 10_000, ..settings() };
+    let mut stand = Stand { sender: sender.taken_over(cfg), now: T0 + 20 * SECOND, actions: Vec::new() };
+    let mut answers = answers_to_calls_out();
+    assert_eq!(play(&mut stand, &mut answers, 1_000, 300), DENSE_CELLS_NEXT);
+}
