--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod records;
 pub mod settings;
 mod state;
+mod statistics;
--- a/src/policy/listed.rs
+++ b/src/policy/listed.rs
@@ -1,9 +1,10 @@
 //! State by listed endpoint: made as lists, operators and messages name them, dropped where nothing depends on it.
 
 use super::caps::top;
-use super::{Sender, Stat, FEW, KEEP, ROUGH};
+use super::{Sender, FEW, KEEP, ROUGH};
 use crate::api::*;
 use crate::state::*;
+use crate::statistics::{Stat, Use};
 use std::collections::BTreeSet;
 
 impl Sender {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,7 +7,6 @@
 
 mod caps;
 mod listed;
-mod stat;
 
 use crate::api::*;
 use crate::state::*;
@@ -16,8 +15,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::mem::take;
 
-pub(crate) use stat::Stat;
-
 /// How often caps are chosen, held messages swept and overdue calls noticed (the paper's control rate).
 const PERIOD: Ns = 100 * MS;
 /// The paper's admission wait: this or 10% of the expected run time, whichever is longer.
@@ -25,7 +22,7 @@
 /// Share of the room that may be held before the admission wait counts.
 const ROOM: f64 = 0.9;
 /// Half-life of what is measured, and the weight under which a cell counts as unmeasured again.
-const HALF_LIFE: f64 = 3e9;
+pub(crate) const HALF_LIFE: f64 = 3e9;
 const MEASURED: f64 = 0.15;
 /// Share of the slots that calls to all routes in doubt may hold together.
 const DOUBT_SLOTS: f64 = 0.25;
@@ -65,7 +62,7 @@
 const RISE: f64 = 0.045;
 
 /// Over so long the calls to a route are counted for its usual rate.
-const USE_SPAN: f64 = 5e9;
+pub(crate) const USE_SPAN: f64 = 5e9;
 
 /// A learned pace takes as many of its own turns to double.
 const REGROW: f64 = 4.0;
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 //! every tuned value is in `policy`.
 
 use crate::api::*;
-use crate::policy::Stat;
+use crate::statistics::{Stat, Use};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
@@ -78,14 +78,6 @@
     pub avoid_until: Ns,
 }
 
-/// Aged count of calls, and the aged time in which they were seen.
-#[derive(Clone, Copy, Default, Serialize, Deserialize)]
-pub struct Use {
-    pub sum: f64,
-    pub span: f64,
-    pub at: Ns,
-}
-
 /// What shares one limit and one outage: a destination, or one endpoint where routes are separate.
 #[derive(Default, Serialize, Deserialize)]
 #[serde(default)]
