--- a/src/policy/listed.rs
+++ b/src/policy/listed.rs
@@ -55,9 +55,12 @@
                 usual: Use::since(self.now),
                 ..Route::default()
             });
-            let trust = if self.cfg.rough_hints { ROUGH } else { 1.0 };
-            let told = self.cfg.hints && entry.hint.is_finite();
-            route.hint = if told { entry.hint.max(0.0) * trust } else { 0.0 };
+            // What is gone tells nothing of its neighbours' limit.
+            if entry.condition != Condition::Gone {
+                let trust = if self.cfg.rough_hints { ROUGH } else { 1.0 };
+                let told = self.cfg.hints && entry.hint.is_finite();
+                route.hint = if told { entry.hint.max(0.0) * trust } else { 0.0 };
+            }
             let dest = self.dest(entry.dest);
             if !dest.places.contains(&entry.endpoint) {
                 dest.places.push(entry.endpoint);
@@ -67,6 +70,30 @@
         }
     }
 
+    /// Whether it holds state for a destination: changes of the list that concern it have to be told.
+    pub fn knows(&self, destination: DestId) -> bool {
+        self.dests.contains_key(&destination)
+    }
+
+    pub fn knows_endpoint(&self, endpoint: EndpointId) -> bool {
+        self.endpoints.contains_key(&endpoint)
+    }
+
+    pub fn known_destinations(&self) -> impl Iterator<Item = DestId> + '_ {
+        self.dests.keys().copied()
+    }
+
+    pub fn known_endpoints(&self) -> impl Iterator<Item = EndpointId> + '_ {
+        self.endpoints.keys().copied()
+    }
+
+    /// An endpoint as the list has named it, where that was ready, without its hint.
+    pub(crate) fn ready_entry(&self, endpoint: EndpointId) -> Option<Entry> {
+        let known = self.endpoints.get(&endpoint).filter(|e| e.listed)?;
+        let (dest, kind, zone) = (known.dest, known.kind, known.zone);
+        Some(Entry { endpoint, dest, kind, zone, condition: Condition::Ready, hint: 0.0 })
+    }
+
     /// Takes an endpoint out or puts it back. Only one that was out has been restarted.
     pub(super) fn maint(&mut self, endpoint: EndpointId, out: bool, at: Ns) {
         let changed = if out { self.maint.insert(endpoint) } else { self.maint.remove(&endpoint) };
