--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,8 @@
 #![doc = include_str!("../README.md")]
 pub mod api;
+pub mod on_demand;
 pub mod policy;
 pub mod records;
 pub mod settings;
 mod state;
+mod statistics;
