Core and client look endpoints up in the catalogue; the module is told on demand

A process that is handed over to goes on from its own list's generation; what an older list says beyond the one handed over waits for the first answer. A call's connection is no longer kept where its endpoint has moved meanwhile.

--- a/src/bin/sender/client.rs
+++ b/src/bin/sender/client.rs
@@ -1,6 +1,7 @@
 //! Calls to endpoints: the connection pool, what is checked as a call is written, and how it ended.
+use crate::directory::{Directory, Place, Route};
 use crate::input::Input;
-use crate::process_state::{Cancel, Known, Place};
+use crate::process_state::{Cancel, Keeps};
 use base64::Engine;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -9,7 +10,7 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, HOST, RETRY_AFTER};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use sender::api::{AttemptEnd, DestId, EndpointId, Ns, Outcome, Report, MS};
+use sender::api::{AttemptEnd, EndpointId, Ns, Outcome, Report, MS};
 use sender::records::Taken;
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
@@ -122,6 +123,7 @@
     task: JoinHandle<()>,
     written: Rc<Cell<u64>>,
     first: Rc<RefCell<FirstLine>>,
+    to: SocketAddr,
     idle_since: Instant,
     /// How long it had stood idle before the call under way; None on a new connection.
     stood: Option<Duration>,
@@ -153,6 +155,7 @@
             task,
             written,
             first,
+            to: at,
             idle_since: Instant::now(),
             stood: None,
             _counted: None,
@@ -269,6 +272,7 @@
 
 pub struct Client {
     core: mpsc::Sender<Input>,
+    directory: Rc<Directory>,
     dial: Duration,
     idle: Duration,
     /// Most connections to endpoints at a time.
@@ -276,52 +280,45 @@
     open: Rc<Cell<usize>>,
     pool: RefCell<HashMap<EndpointId, Vec<Connection>>>,
     keeps: RefCell<HashMap<EndpointId, Keep>>,
-    places: RefCell<HashMap<EndpointId, Place>>,
     /// Another process decides now: nothing more is begun.
     frozen: Cell<bool>,
-    /// Taken out by operators; also such as have no place.
+    /// Taken out by operators; also such as are not listed any more.
     out: RefCell<HashSet<EndpointId>>,
-    waits: RefCell<HashMap<(DestId, Option<EndpointId>), Instant>>,
+    waits: RefCell<HashMap<Route, Instant>>,
 }
 
 impl Client {
-    pub fn new(core: mpsc::Sender<Input>, dial: Ns, idle: Ns, most: usize) -> Client {
+    pub fn new(
+        core: mpsc::Sender<Input>,
+        directory: Rc<Directory>,
+        dial: Ns,
+        idle: Ns,
+        most: usize,
+    ) -> Client {
         // Closed well before the endpoint would: what is written to a connection that it has closed is a reset.
         let idle = Duration::from_nanos((idle.max(0) as f64 * 0.9) as u64);
         Client {
             core,
+            directory,
             dial: Duration::from_nanos(dial.max(MS) as u64),
             idle,
             most,
             open: Rc::default(),
             pool: RefCell::default(),
             keeps: RefCell::default(),
-            places: RefCell::default(),
             frozen: Cell::default(),
             out: RefCell::default(),
             waits: RefCell::default(),
         }
     }
 
-    /// Follows the list; what it no longer names as ready gets nothing more, from now on.
-    pub fn place(
-        &self,
-        endpoint: EndpointId,
-        address: SocketAddr,
-        dest: DestId,
-        separate: bool,
-        listed: bool,
-    ) {
-        let place = Place { address, route: (dest, separate.then_some(endpoint)), listed };
-        let old = self.places.borrow_mut().insert(endpoint, place);
-        if !listed || old.is_some_and(|old| old.address != address) {
-            self.close_idle(endpoint);
-        }
-    }
-
-    /// A whole list replaces the one before: what is not in it is gone.
-    pub fn withdraw_all(&self) {
-        self.places.borrow_mut().values_mut().for_each(|p| p.listed = false);
+    /// Follows the list: closes idle connections to what it no longer names as ready, or names elsewhere.
+    pub fn follow_list(&self) {
+        self.pool.borrow_mut().retain(|&endpoint, links| {
+            let place = self.directory.ready_place(endpoint);
+            links.retain(|link| place.is_some_and(|place| place.address == link.to));
+            !links.is_empty()
+        });
     }
 
     /// Follows the operators: what is out gets nothing more either, and what it kept of us is not used again,
@@ -335,31 +332,25 @@
         self.close_idle(endpoint);
     }
 
-    fn usable(&self, endpoint: EndpointId, place: &Place) -> bool {
-        place.listed && !self.frozen.get() && !self.out.borrow().contains(&endpoint)
-    }
-
     /// Where it may be called, if it may.
-    fn address(&self, endpoint: EndpointId) -> Option<SocketAddr> {
-        self.places.borrow().get(&endpoint).filter(|p| self.usable(endpoint, p)).map(|p| p.address)
+    fn place(&self, endpoint: EndpointId) -> Option<Place> {
+        let may = !self.frozen.get() && !self.out.borrow().contains(&endpoint);
+        self.directory.ready_place(endpoint).filter(|_| may)
     }
 
-    /// What the next process needs to know of places and their connections. Nothing more is begun from now on:
-    /// what is being connected ends as not sent, idle connections are closed, and calls out go on.
-    pub fn freeze(&self) -> Known {
+    /// What the next process needs to know of connections. Nothing more is begun from now on: what is being connected
+    /// ends as not sent, idle connections are closed, and calls out go on.
+    pub fn freeze(&self) -> Keeps {
         self.frozen.set(true);
         self.pool.borrow_mut().clear();
         let now = Instant::now();
-        let places = self.places.borrow().clone();
         let keeps = self.keeps.borrow();
-        let keeps = keeps.iter().map(|(&e, keep)| (e, keep.bound, now - keep.since)).collect();
-        Known { places, keeps }
+        keeps.iter().map(|(&endpoint, keep)| (endpoint, keep.bound, now - keep.since)).collect()
     }
 
-    pub fn thaw(&self, known: Known) {
+    pub fn thaw(&self, keeps: Keeps) {
         let now = Instant::now();
-        *self.places.borrow_mut() = known.places;
-        for (endpoint, bound, age) in known.keeps {
+        for (endpoint, bound, age) in keeps {
             let since = now.checked_sub(age).unwrap_or(now);
             self.keeps.borrow_mut().insert(endpoint, Keep { bound, since });
         }
@@ -367,7 +358,10 @@
 
     /// Whether any endpoint may be called at all.
     pub fn has_usable(&self) -> bool {
-        self.places.borrow().iter().any(|(&endpoint, place)| self.usable(endpoint, place))
+        let out = self.out.borrow();
+        let ready_but_out =
+            out.iter().filter(|&&endpoint| self.directory.ready_place(endpoint).is_some()).count();
+        !self.frozen.get() && self.directory.catalogue().ready() > ready_but_out
     }
 
     pub fn close_idle(&self, endpoint: EndpointId) {
@@ -391,18 +385,17 @@
         }
     }
 
-    fn may_write(&self, endpoint: EndpointId) -> bool {
-        let places = self.places.borrow();
-        let Some(place) = places.get(&endpoint).filter(|p| self.usable(endpoint, p)) else { return false };
-        self.waits.borrow().get(&place.route).is_none_or(|&until| until <= Instant::now())
+    /// Where a connection that was made to an endpoint may be written to now, if it still leads there.
+    fn writable_place(&self, endpoint: EndpointId, link: &Connection) -> Option<Place> {
+        let place = self.place(endpoint).filter(|place| place.address == link.to)?;
+        let waits = self.waits.borrow();
+        waits.get(&place.route).is_none_or(|&until| until <= Instant::now()).then_some(place)
     }
 
-    fn heed_wait(&self, endpoint: EndpointId, wait: Duration) {
-        let places = self.places.borrow();
-        let Some(place) = places.get(&endpoint) else { return };
+    fn heed_wait(&self, route: Route, wait: Duration) {
         let until = Instant::now() + wait;
         let mut waits = self.waits.borrow_mut();
-        let held = waits.entry(place.route).or_insert(until);
+        let held = waits.entry(route).or_insert(until);
         *held = until.max(*held);
     }
 
@@ -463,8 +456,8 @@
         if let Some(link) = self.take_idle(endpoint) {
             return Ok(link);
         }
-        let address = self.address(endpoint).filter(|_| self.make_place());
-        let Some(address) = address else { return Err(Outcome::NotSent) };
+        let place = self.place(endpoint).filter(|_| self.make_place());
+        let Some(Place { address, .. }) = place else { return Err(Outcome::NotSent) };
         // Counted from before it is made, so that many at once stay under the limit too.
         let counted = Counted::new(&self.open);
         match Connection::open(address, self.dial).await {
@@ -484,7 +477,7 @@
         if !matches!(timeout(TAIL, link.sender.ready()).await, Ok(Ok(()))) {
             return;
         }
-        if self.address(endpoint).is_some() {
+        if self.place(endpoint).is_some_and(|place| place.address == link.to) {
             link.idle_since = Instant::now();
             self.pool.borrow_mut().entry(endpoint).or_default().push(link);
         }
@@ -524,19 +517,18 @@
             };
             // A drain, a wait or the end of a window may have come while the connection was being made.
             let now = Instant::now();
-            let may = self.may_write(endpoint);
+            let place = self.writable_place(endpoint, &link);
             let (go, stay): (Vec<_>, Vec<_>) =
-                members.into_iter().partition(|m| may && now < m.by && now < m.end.min(close_at));
+                members.into_iter().partition(|m| place.is_some() && now < m.by && now < m.end.min(close_at));
             members = go;
             self.report(stay.iter().map(tell(Outcome::NotSent)).collect()).await;
-            let Some(place) = self.places.borrow().get(&endpoint).map(|p| p.address) else { return };
-            if members.is_empty() {
+            let Some(place) = place.filter(|_| !members.is_empty()) else {
                 return self.give_back(endpoint, link).await;
-            }
-            let request = build(&members, place, close_at - now);
+            };
+            let request = build(&members, place.address, close_at - now);
             let several = members.len() > 1;
             let answer = {
-                let mut answer = pin!(self.answer(&mut link, request, endpoint, several));
+                let mut answer = pin!(self.answer(&mut link, request, place.route, several));
                 loop {
                     let next = members.iter().map(|m| m.end).min().unwrap_or(close_at).min(close_at);
                     tokio::select! {
@@ -621,13 +613,13 @@
         &self,
         link: &mut Connection,
         request: Request<Full<Bytes>>,
-        endpoint: EndpointId,
+        route: Route,
         several: bool,
     ) -> Result<Answer, Fault> {
         let (head, body) = link.send(request).await?.into_parts();
         // At once: calls to other endpoints of the destination may be about to be written.
         if let Some(wait) = wait_told(&head.headers) {
-            self.heed_wait(endpoint, wait);
+            self.heed_wait(route, wait);
         }
         let (status, headers) = (head.status.as_u16(), head.headers);
         if status == 200 && several {
@@ -648,11 +640,10 @@
         let Ok(mut link) = self.connect(endpoint).await else {
             return self.probed(endpoint, Outcome::NoConnection, None).await;
         };
-        let place = self.places.borrow().get(&endpoint).map(|p| p.address);
-        let Some(place) = place.filter(|_| self.may_write(endpoint)) else {
+        let Some(Place { address, .. }) = self.writable_place(endpoint, &link) else {
             return self.probed(endpoint, Outcome::NotSent, None).await;
         };
-        let asked = link.exchange(request("GET", "/healthz", place, &[], Bytes::new()), MAX_BODY);
+        let asked = link.exchange(request("GET", "/healthz", address, &[], Bytes::new()), MAX_BODY);
         let (outcome, report) = match timeout(self.dial, asked).await {
             Ok(Ok((status, headers, _))) => {
                 let (outcome, ..) = outcome(status, &headers);
--- a/src/bin/sender/core.rs
+++ b/src/bin/sender/core.rs
@@ -1,14 +1,18 @@
 //! The one owner of the module: events in, one round of decisions, actions out. It decides nothing itself.
 use crate::client::{self, Client, Member};
 use crate::config::Config;
+use crate::directory::Directory;
+use crate::first_catalogue::FirstCatalogue;
 use crate::input::{Change, Input, Reply};
 use crate::journal::Journal;
-use crate::learned::{Learned, Snapshot};
+use crate::learned::{Learned, Numbers, Snapshot};
+use crate::list_intake::release;
 use crate::maint::Maint;
 use crate::notices::Notice;
-use crate::process_state::{Cancel, Out, Rest, State};
-use catalogue::{intake, Catalogue, Endpoint, Lifecycle};
+use crate::process_state::{Cancel, Numbered, Out, Rest, State, Unended};
+use catalogue::{intake, Catalogue};
 use sender::api::*;
+use sender::on_demand::OnDemandList;
 use sender::policy::Sender;
 use sender::records::{wall_ms, Begun, Ending, Record, Taken};
 use sender::settings::Around;
@@ -20,6 +24,17 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep_until, timeout, Instant};
 
+/// What a core starts with.
+pub struct Start {
+    /// The list on which the watch goes on, and what it asks for changes since.
+    pub watched: Catalogue,
+    pub generation: Option<u64>,
+    /// Whether the module has to be told of the list in force.
+    pub new_to_module: bool,
+    /// What was handed over of messages; None where no process has.
+    pub unended: Option<Unended>,
+}
+
 /// How the core's work ended.
 pub enum Stop {
     /// By itself after `Wind`, or as nobody is left to tell it anything.
@@ -75,10 +90,12 @@
     /// The settings as they were read, to compare with the next process's.
     told: String,
     /// The list in force.
-    catalogue: Catalogue,
-    names: HashMap<String, EndpointId>,
-    /// Name and kind by number.
-    endpoints: Vec<(String, usize)>,
+    directory: Rc<Directory>,
+    on_demand: OnDemandList,
+    /// The list in force lacks what the next one builds on.
+    partial: bool,
+    /// Endpoints of which the module was told what operators say, by name.
+    operated: HashMap<String, EndpointId>,
     held: BTreeMap<u64, Held>,
     traces: HashMap<String, u64>,
     noticing: HashSet<u64>,
@@ -115,7 +132,7 @@
         config: Config,
         journal: Journal<F>,
         maint: Maint,
-        client: Rc<Client>,
+        (directory, client): (Rc<Directory>, Rc<Client>),
         inbox: mpsc::Receiver<Input>,
         asks: mpsc::Receiver<Input>,
         notices: mpsc::UnboundedSender<Notice>,
@@ -136,9 +153,10 @@
             start: Instant::now(),
             epoch: CLOCK_START,
             told: config.told,
-            catalogue: Catalogue::default(),
-            names: HashMap::new(),
-            endpoints: Vec::new(),
+            directory,
+            on_demand: OnDemandList::default(),
+            partial: false,
+            operated: HashMap::new(),
             held: BTreeMap::new(),
             traces: HashMap::new(),
             noticing: HashSet::new(),
@@ -159,41 +177,58 @@
         self.start + Duration::from_nanos((at - self.epoch).max(0) as u64)
     }
 
-    /// Takes up what another process has decided so far; false where that was under other settings. What it held
-    /// stands in the journal, by number.
-    fn take_over(&mut self, state: State) -> Option<BTreeMap<u64, (Ns, u32)>> {
+    /// Takes up what the process before has handed over, or else what was learned, with the list that this process
+    /// was started with. What the one before held stands in the journal, by number.
+    pub fn start(&mut self, known: Catalogue, state: Option<State>) -> Start {
+        let handed = state.and_then(|state| self.take_over(state));
+        let (first, unended) = match handed {
+            Some((numbered, unended)) => (FirstCatalogue::handed_over(&numbered, known), Some(unended)),
+            None => (self.take_up_learned(known), None),
+        };
+        self.partial = first.is_partial();
+        self.directory.replace(first.in_force);
+        let FirstCatalogue { watched, generation, new_to_module, .. } = first;
+        Start { watched, generation, new_to_module, unended }
+    }
+
+    /// Takes up what another process has decided so far; None where that was under other settings.
+    fn take_over(&mut self, state: State) -> Option<(Numbered, Unended)> {
         if state.settings != self.told {
             tracing::warn!("the settings are new: going on from the journal alone");
             return None;
         }
         self.sender = state.module.taken_over(self.settings.clone());
-        self.go_on_from(state.clock, state.endpoints);
+        self.go_on_from(state.clock);
         self.next_id = self.next_id.max(state.next_id);
         let calls = state.calls.into_iter().map(|(id, n, endpoint)| ((id, n), endpoint));
         self.calls = calls.map(|(call, endpoint)| (call, Out { endpoint, cancel: Rc::default() })).collect();
-        self.client.thaw(state.client);
-        Some(state.held)
+        self.client.thaw(state.keeps);
+        Some((state.numbered, state.held))
     }
 
-    /// Numbers endpoints as another process did, and lets the module's clock go on from a Unix time in nanoseconds.
-    fn go_on_from(&mut self, (clock, wall): (Ns, u64), endpoints: Vec<(String, usize)>) {
+    /// Lets the module's clock go on from a Unix time in nanoseconds.
+    fn go_on_from(&mut self, (clock, wall): (Ns, u64)) {
         (self.start, self.epoch) = (Instant::now(), clock + wall_ns().saturating_sub(wall) as Ns);
-        self.names = endpoints.iter().zip(0..).map(|((name, _), e)| (name.clone(), e)).collect();
-        self.endpoints = endpoints;
     }
 
-    /// Goes on with what a process that was killed had learned.
-    fn take_up_learned(&mut self) {
-        let Some(kept) = self.learned.as_ref().and_then(|l| l.read(wall_ns())) else { return };
+    /// Goes on with what a process that was killed had learned, if that was kept.
+    fn take_up_learned(&mut self, known: Catalogue) -> FirstCatalogue {
+        let Some(kept) = self.learned.as_ref().and_then(|l| l.read(wall_ns())) else {
+            return FirstCatalogue::known(known);
+        };
         self.sender = kept.module.restarted(self.settings.clone(), self.seed);
-        self.go_on_from(kept.clock, kept.endpoints);
+        self.go_on_from(kept.clock);
+        FirstCatalogue::restarted(&kept.numbers.endpoints, kept.numbers.next_id, known)
     }
 
     fn keep_learned(&mut self) {
         let clock = (self.clock(Instant::now()), wall_ns());
         if let Some(learned) = self.learned.as_mut().filter(|l| l.due() <= Instant::now()) {
-            let endpoints = &self.endpoints;
-            self.sender.learned(|module| learned.write(&Snapshot { module, clock, endpoints }));
+            let catalogue = self.directory.catalogue();
+            let named = |id| Some((id, catalogue.get(id)?.name.to_string()));
+            let endpoints = self.sender.known_endpoints().filter_map(named).collect();
+            let numbers = &Numbers { endpoints, next_id: catalogue.next_id() };
+            self.sender.learned(|module| learned.write(&Snapshot { module, clock, numbers }));
         }
     }
 
@@ -202,19 +237,18 @@
         self.calls.clone()
     }
 
-    /// Takes up what the process before has handed over, or else what the journal holds. `known` may be old, so
-    /// a fresh list is waited for, but not for long.
-    pub async fn resume(&mut self, known: Catalogue, state: Option<State>) {
-        let handed = state.and_then(|state| self.take_over(state));
-        if handed.is_none() {
-            self.take_up_learned();
+    /// Takes up what the journal holds beyond what was handed over. The list of the configuration may be old, so a
+    /// fresh one is waited for, but not for long.
+    pub async fn resume(&mut self, handed: Option<Unended>, new_to_module: bool) {
+        let mut events = Vec::new();
+        self.heed_operators(&mut events);
+        if new_to_module {
+            self.on_demand.replaced(&self.sender, &*self.directory, &mut events);
         }
-        let mut events = self.taken_out();
         if handed.is_none() {
-            events.push(self.list(whole(known)));
             let first = timeout(FIRST_LIST, self.inbox.recv()).await;
             if let Ok(Some(Input::Catalogue(taken))) = first {
-                events.push(self.list(taken));
+                self.follow_list(taken, &mut events);
             }
         }
         let handed = handed.unwrap_or_default();
@@ -230,7 +264,7 @@
                 .attempts
                 .iter()
                 .map(|a| PastAttempt {
-                    endpoint: self.names.get(&a.endpoint).copied(),
+                    endpoint: self.directory.catalogue().id(&a.endpoint),
                     sent: now - (wall - a.at).max(0).saturating_mul(MS).min(CLOCK_START),
                     may_have_run: !a.never_ran,
                 })
@@ -257,6 +291,7 @@
         }
         for (taken, class, left, attempts, past) in resumed {
             let message = self.hold(taken, class, left, now + left, attempts);
+            self.on_demand.before_message(&self.sender, &*self.directory, message.dest, &mut events);
             events.push(Event::Resumed { message, past });
         }
         if !self.journal.live().is_empty() {
@@ -357,15 +392,18 @@
     /// From here on the next process decides, and the journal is its own.
     fn hand_over(self, reply: oneshot::Sender<Option<State>>) -> Stop {
         let clock = (self.clock(Instant::now()), wall_ns());
+        let numbered = Numbered::of(&self.directory.catalogue(), self.sender.known_endpoints());
+        // The next process has one of its own, and both share what memory there is.
+        release(self.directory.clear());
         let state = State {
             settings: self.told,
             module: self.sender,
             clock,
-            endpoints: self.endpoints,
+            numbered,
             held: self.held.iter().map(|(&id, held)| (id, (held.end, held.attempts))).collect(),
             calls: self.calls.iter().map(|(&(id, attempt), out)| (id, attempt, out.endpoint)).collect(),
             next_id: self.next_id,
-            client: self.client.freeze(),
+            keeps: self.client.freeze(),
         };
         drop(self.journal);
         let _ = reply.send(Some(state));
@@ -386,23 +424,15 @@
         self.wind.is_some() && calm && (self.held.is_empty() || self.winding())
     }
 
-    /// The number by which the module knows an endpoint.
-    fn number(&mut self, name: &str) -> EndpointId {
-        let next = self.endpoints.len() as EndpointId;
-        let endpoint = *self.names.entry(name.to_string()).or_insert(next);
-        if endpoint == next {
-            self.endpoints.push((name.to_string(), usize::MAX));
-        }
-        endpoint
-    }
-
-    /// What operators told earlier processes.
-    fn taken_out(&mut self) -> Vec<Event> {
+    /// Tells the module and the client what operators say of endpoints that have come to be listed since.
+    fn heed_operators(&mut self, events: &mut Vec<Event>) {
         let (now, wall) = (self.clock(Instant::now()), wall_ms());
-        let all: Vec<(String, Option<i64>)> = self.maint.all().map(|(n, back)| (n.clone(), back)).collect();
-        let mut events = Vec::new();
-        for (name, back) in all {
-            let endpoint = self.number(&name);
+        let catalogue = self.directory.catalogue();
+        for (name, back) in self.maint.all() {
+            let Some(endpoint) = catalogue.id(name) else { continue };
+            if self.operated.insert(name.clone(), endpoint) == Some(endpoint) {
+                continue;
+            }
             self.client.take_out(endpoint, back.is_none());
             events.push(Event::Maint { endpoint, out: true, at: now });
             if let Some(back) = back {
@@ -410,19 +440,24 @@
                 events.push(Event::Maint { endpoint, out: false, at: now - ago });
             }
         }
-        events
     }
 
     /// Operators' calls repeat safely: one that changes nothing is a yes as well.
     fn change(&mut self, name: &str, out: bool, events: &mut Vec<Event>) -> Change {
-        let Some(&endpoint) = self.names.get(name) else { return Change::Unknown };
+        let listed = self.directory.catalogue().id(name);
+        if listed.is_none() && !self.maint.knows(name) {
+            return Change::Unknown;
+        }
         match self.maint.set(name, out) {
             Ok(false) => Change::Done,
             Ok(true) => {
                 tracing::info!(endpoint = name, out, "told by operators");
-                self.client.take_out(endpoint, out);
-                let at = self.clock(Instant::now());
-                events.push(Event::Maint { endpoint, out, at });
+                // One that has left the list may come back under the number that it had.
+                if let Some(endpoint) = listed.or_else(|| self.operated.get(name).copied()) {
+                    self.operated.insert(name.to_string(), endpoint);
+                    self.client.take_out(endpoint, out);
+                    events.push(Event::Maint { endpoint, out, at: self.clock(Instant::now()) });
+                }
                 Change::Done
             }
             Err(error) => {
@@ -432,38 +467,20 @@
         }
     }
 
-    /// Follows a list that was taken in.
-    fn list(&mut self, taken: intake::Taken) -> Event {
-        let before = std::mem::replace(&mut self.catalogue, taken.catalogue);
-        let now = self.catalogue.clone();
-        let whole = taken.reset;
-        let mut entries = Vec::new();
+    /// Puts a list in force that was taken in, and tells the module what concerns its work.
+    fn follow_list(&mut self, taken: intake::Taken, events: &mut Vec<Event>) {
+        let before = self.directory.replace(taken.catalogue);
+        let whole = taken.reset | std::mem::take(&mut self.partial);
         if whole {
-            self.client.withdraw_all();
-            entries.extend(now.ids().filter_map(|id| now.get(id)).map(|e| self.listed(&e, false)));
+            release(before);
         }
-        for id in taken.changed {
-            let gone = now.get(id).is_none();
-            let endpoint = now.get(id).or_else(|| before.get(id));
-            entries.extend(endpoint.map(|e| self.listed(&e, gone)));
+        self.client.follow_list();
+        self.heed_operators(events);
+        if whole {
+            self.on_demand.replaced(&self.sender, &*self.directory, events);
+        } else {
+            self.on_demand.changed(&self.sender, &*self.directory, &taken.changed, events);
         }
-        Event::List { whole, entries }
-    }
-
-    fn listed(&mut self, listed: &Endpoint, gone: bool) -> Entry {
-        let condition = match listed.lifecycle {
-            _ if gone => Condition::Gone,
-            Lifecycle::Ready => Condition::Ready,
-            Lifecycle::Draining => Condition::Draining,
-        };
-        let endpoint = self.number(listed.name);
-        let kind = position(&self.around.kinds, listed.machine_type).unwrap_or(usize::MAX);
-        self.endpoints[endpoint as usize].1 = kind;
-        let zone = position(&self.around.zones, listed.zone).unwrap_or(usize::MAX);
-        let separate = self.settings.kinds.get(kind).is_some_and(|k| k.separate_routes);
-        let (dest, hint) = (listed.destination, listed.weight);
-        self.client.place(endpoint, listed.address, dest, separate, condition == Condition::Ready);
-        Entry { endpoint, dest, kind, zone, condition, hint }
     }
 
     /// One round: all that has come, the module's answer to it, one write, then the actions.
@@ -475,7 +492,7 @@
         for input in inputs {
             match input {
                 Input::Offer { taken, end, reply } => self.offer(taken, end, reply, &mut round),
-                Input::Catalogue(taken) => round.events.push(self.list(taken)),
+                Input::Catalogue(taken) => self.follow_list(taken, &mut round.events),
                 Input::Ended(ends) => {
                     for end in ends {
                         let ms = end.took / MS;
@@ -511,6 +528,7 @@
         if !self.winding() {
             self.sender.handle(now, &events, &mut actions);
         }
+        self.on_demand.handled();
         let mut calls: Vec<(EndpointId, Vec<Member>)> = Vec::new();
         let mut begun = Vec::new();
         let mut endings = Vec::new();
@@ -519,18 +537,24 @@
             match action {
                 Action::Send { id, endpoint, limit, by } => {
                     let Some(held) = self.held.get_mut(&id) else { continue };
-                    let (name, kind) = self.endpoints[endpoint as usize].clone();
                     let attempt = held.attempts;
+                    held.attempts += 1;
+                    let name = self.directory.catalogue().get(endpoint).map(|e| e.name.to_string());
+                    let Some(name) = name else {
+                        // It has left the list in this round.
+                        let end = client::end_of(id, attempt, endpoint, Outcome::NotSent, at);
+                        self.next.push(Event::AttemptEnd(end));
+                        continue;
+                    };
                     let record = Begun { number: attempt, at: wall, endpoint: name, never_ran: false };
                     begun.push(Record::Begun(id, record));
-                    held.attempts += 1;
                     let (taken, end) = (held.taken.clone(), held.end);
                     tracing::debug!(id, attempt, endpoint, dest = taken.dest, limit = limit / MS, "send");
                     let limit = if limit > 0 { (now + limit).min(end) } else { end };
                     let (end, limit, by) = (self.instant(end), self.instant(limit), self.instant(by));
                     let member = Member { attempt, taken, end, limit, by };
                     // As the module counts: sends to one endpoint in one round share calls.
-                    let batch = self.settings.kinds.get(kind).map_or(1, |k| k.batch.max(1));
+                    let batch = self.directory.batch(endpoint);
                     match calls.iter_mut().rev().find(|(e, _)| *e == endpoint) {
                         Some((_, members)) if members.len() < batch => members.push(member),
                         _ => calls.push((endpoint, vec![member])),
@@ -648,6 +672,7 @@
         let taken = Rc::new(taken);
         let left = end.saturating_duration_since(round.at).as_nanos() as Ns;
         let message = self.hold(taken.clone(), class, left, self.clock(end), 0);
+        self.on_demand.before_message(&self.sender, &*self.directory, message.dest, &mut round.events);
         round.events.push(Event::Message(message));
         round.offered.insert(taken.id, Offered { taken, replies: vec![reply] });
     }
@@ -755,12 +780,6 @@
     Unsynced,
 }
 
-/// A catalogue as a list that replaces the one before.
-fn whole(catalogue: Catalogue) -> intake::Taken {
-    let (entries, generation) = (catalogue.len(), catalogue.generation().unwrap_or(0));
-    intake::Taken { catalogue, generation, reset: true, changed: Vec::new(), entries, unreadable: 0 }
-}
-
 fn wall_ns() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as u64)
 }
--- a/src/bin/sender/core/tests.rs
+++ b/src/bin/sender/core/tests.rs
@@ -218,12 +218,15 @@
     let (core_in, inbox) = mpsc::channel(64);
     let (_, asks) = mpsc::channel(1);
     let (notices, _) = mpsc::unbounded_channel();
-    let client = Rc::new(Client::new(core_in.clone(), 1_000_000_000, 20_000_000_000, 32));
+    let directory = Rc::new(Directory::new(&config.around, &config.settings.kinds));
+    let client = Client::new(core_in.clone(), directory.clone(), 1_000_000_000, 20_000_000_000, 32);
+    let listed = (directory, Rc::new(client));
     let maint = Maint::open(folder, 1).unwrap();
-    let mut core = Core::new(config, journal(folder, &syncs), maint, client, inbox, asks, notices);
+    let mut core = Core::new(config, journal(folder, &syncs), maint, listed, inbox, asks, notices);
     let list = json!({"generation": 1, "reset": true, "instances": [{"instanceId": "e-1", "hostPort": at.to_string(),
         "zone": "z", "machineType": "plain", "cell": 7, "lifecycle": "Ready", "weight": 1.0, "startedAtMs": 0}]});
-    core.resume(read_list(&list), None).await;
+    let start = core.start(read_list(&list), None);
+    core.resume(start.unended, start.new_to_module).await;
     spawn_local(core.run());
     (core_in, syncs, calls)
 }
--- a/src/bin/sender/handover.rs
+++ b/src/bin/sender/handover.rs
@@ -10,6 +10,7 @@
 use crate::input::{Change, Input, Reply};
 use crate::owner::Owner;
 use crate::process_state::{Out, Rest, State};
+use crate::process_state_v1::StateV1;
 use crate::server::{Moved, Server};
 use bytes::Bytes;
 use rustix::net::{
@@ -18,6 +19,8 @@
 };
 use sender::api::{AttemptEnd, Outcome};
 use sender::records::Taken;
+use sender::settings::Around;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
 use std::fs::File;
@@ -36,8 +39,9 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout, Instant};
 
-/// The form of what is passed on; another one is not understood.
-const VERSION: u32 = 1;
+/// The form of what is passed on. The one before is still taken, but not given.
+const VERSION: u32 = 2;
+const VERSION_BEFORE: u32 = 1;
 /// How long the old process may take to hand over, and the pause before it is asked again.
 const PATIENCE: Duration = Duration::from_secs(2);
 const PAUSE: Duration = Duration::from_millis(20);
@@ -91,6 +95,12 @@
     },
 }
 
+/// What a process of the version before answers first.
+#[derive(Deserialize)]
+enum FrameV1 {
+    State(Box<StateV1>),
+}
+
 /// A path that fits a socket's address, however long the folder's own is.
 struct Door {
     _folder: File,
@@ -146,7 +156,7 @@
 
 impl Reader {
     /// The next frame and what came with it; None at the end. Nothing is lost where it is given up half-way.
-    async fn next(&mut self) -> io::Result<Option<(Frame, Option<OwnedFd>)>> {
+    async fn next<F: DeserializeOwned>(&mut self) -> io::Result<Option<(F, Option<OwnedFd>)>> {
         loop {
             if let Some(frame) = self.take()? {
                 return Ok(Some(frame));
@@ -176,7 +186,7 @@
         }
     }
 
-    fn take(&mut self) -> io::Result<Option<(Frame, Option<OwnedFd>)>> {
+    fn take<F: DeserializeOwned>(&mut self) -> io::Result<Option<(F, Option<OwnedFd>)>> {
         let Some((head, rest)) = self.bytes.split_first_chunk::<HEAD>() else { return Ok(None) };
         let length = u32::from_le_bytes([head[0], head[1], head[2], head[3]]) as usize;
         if length > MAX_FRAME {
@@ -203,13 +213,19 @@
 
 /// The right to the journal, from a process that runs if there is one. Waits for as long as that one neither
 /// hands over nor ends.
-pub async fn claim(folder: &Path) -> io::Result<(Owner, Option<(Box<State>, Predecessor)>)> {
+pub async fn claim(folder: &Path, around: &Around) -> io::Result<(Owner, Option<(Box<State>, Predecessor)>)> {
     let mut told = false;
+    // A process of the version before lets go of who asks for a form that it does not know.
+    let mut versions = [VERSION, VERSION_BEFORE].into_iter().cycle();
     loop {
         if let Some(owner) = Owner::claim(folder)? {
             return Ok((owner, None));
         }
-        match timeout(PATIENCE, ask(folder)).await.unwrap_or(Err(io::ErrorKind::TimedOut.into())) {
+        let version = versions.next().unwrap_or(VERSION);
+        match timeout(PATIENCE, ask(folder, version, around))
+            .await
+            .unwrap_or(Err(io::ErrorKind::TimedOut.into()))
+        {
             Ok((state, before)) => {
                 // It gave up the lock first. One that it took back since has a dead link to us.
                 let owner = Owner::claim(folder)?.ok_or(io::Error::other("the journal was taken back"))?;
@@ -225,17 +241,21 @@
     }
 }
 
-async fn ask(folder: &Path) -> io::Result<(Box<State>, Predecessor)> {
+async fn ask(folder: &Path, version: u32, around: &Around) -> io::Result<(Box<State>, Predecessor)> {
     let door = Door::new(folder)?;
     let (mut reader, writer) = link(UnixStream::connect(&door.path).await?);
-    writer.send(&Frame::Ask { version: VERSION }, None).await?;
-    match reader.next().await? {
-        Some((Frame::State(state), Some(listener))) => {
-            Ok((state, Predecessor { listener: listener.into(), reader, writer }))
+    writer.send(&Frame::Ask { version }, None).await?;
+    let (state, listener) = if version == VERSION_BEFORE {
+        let (FrameV1::State(state), listener) = reader.next().await?.ok_or(io::ErrorKind::UnexpectedEof)?;
+        (Box::new(state.upgrade(&around.kinds)), listener)
+    } else {
+        match reader.next().await?.ok_or(io::ErrorKind::UnexpectedEof)? {
+            (Frame::State(state), listener) => (state, listener),
+            _ => return Err(io::Error::other("it answers otherwise")),
         }
-        Some(_) => Err(io::Error::other("it answers otherwise")),
-        None => Err(io::ErrorKind::UnexpectedEof.into()),
-    }
+    };
+    let listener = listener.ok_or(io::Error::other("it answers without its listener"))?.into();
+    Ok((state, Predecessor { listener, reader, writer }))
 }
 
 /// Where the next process asks.
@@ -346,7 +366,7 @@
                 // Lists and what the platform answers are the new process's affair.
                 _ => {}
             },
-            frame = reader.next() => match frame {
+            frame = reader.next::<Frame>() => match frame {
                 Ok(Some((Frame::Cancel { id, attempt }, _))) => {
                     calls.get(&(id, attempt)).into_iter().for_each(|out| out.cancel.set());
                 }
--- a/src/bin/sender/learned.rs
+++ b/src/bin/sender/learned.rs
@@ -1,8 +1,9 @@
 //! What the module has learned, kept beside the journal as a snapshot, so that a process that was killed is followed by
 //! one that need not learn it anew. It is written to the side and renamed; one that does not suit is left, and told.
 use crate::config::Config;
-use sender::api::Ns;
+use sender::api::{EndpointId, Ns};
 use sender::policy::Sender;
+use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 use std::fs;
 use std::io;
@@ -10,8 +11,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// The form of the file; another one is left.
-const FORM: u32 = 1;
+/// The form of the file, and the one before, which is still read; another one is left.
+const FORM: u32 = 2;
+const FORM_BEFORE: u32 = 1;
 /// Checksum and nothing else before what was packed.
 const HEAD: usize = 4;
 /// A snapshot that is older says little of the platform as it is: limits and their shares were told long ago.
@@ -25,7 +27,15 @@
     pub module: &'a Sender,
     /// The module's time at a Unix time in nanoseconds.
     pub clock: (Ns, u64),
-    pub endpoints: &'a [(String, usize)],
+    pub numbers: &'a Numbers,
+}
+
+/// The module's numbers of the endpoints that it knows, by name.
+#[derive(Serialize, Deserialize, Default)]
+pub struct Numbers {
+    pub endpoints: Vec<(EndpointId, String)>,
+    /// Above all numbers that were ever given.
+    pub next_id: EndpointId,
 }
 
 /// What was kept.
@@ -33,7 +43,37 @@
 pub struct Kept {
     pub module: Sender,
     pub clock: (Ns, u64),
-    pub endpoints: Vec<(String, usize)>,
+    pub numbers: Numbers,
+}
+
+/// What was kept in the form before: every endpoint that lists ever named, by number, with its machine type.
+#[derive(Deserialize)]
+struct KeptBefore {
+    module: Sender,
+    clock: (Ns, u64),
+    endpoints: Vec<(String, usize)>,
+}
+
+impl From<KeptBefore> for Kept {
+    fn from(before: KeptBefore) -> Kept {
+        let next_id = before.endpoints.len() as EndpointId;
+        let endpoints = (0..).zip(before.endpoints).map(|(number, (name, _))| (number, name)).collect();
+        Kept { module: before.module, clock: before.clock, numbers: Numbers { endpoints, next_id } }
+    }
+}
+
+/// A file's content: form, the sender's name, checksum of the settings, and what was kept.
+type Whole<T> = (u32, String, u32, T);
+
+fn unpack(packed: &[u8]) -> Result<Whole<Kept>, Left> {
+    let form = rmp_serde::from_slice::<Whole<IgnoredAny>>(packed).map_err(|_| Left::Damaged)?.0;
+    let whole = match form {
+        FORM => rmp_serde::from_slice(packed),
+        FORM_BEFORE => rmp_serde::from_slice::<Whole<KeptBefore>>(packed)
+            .map(|(form, name, settings, kept)| (form, name, settings, kept.into())),
+        _ => return Err(Left::Damaged),
+    };
+    whole.map_err(|_| Left::Damaged)
 }
 
 pub struct Learned {
@@ -129,11 +169,7 @@
         if crc32fast::hash(packed) != u32::from_le_bytes(*sum) {
             return Err(Left::Damaged);
         }
-        type Whole = (u32, String, u32, Kept);
-        let (form, name, settings, kept): Whole = rmp_serde::from_slice(packed).map_err(|_| Left::Damaged)?;
-        if form != FORM {
-            return Err(Left::Damaged);
-        }
+        let (_, name, settings, kept) = unpack(packed)?;
         if name != self.name {
             return Err(Left::Foreign(name));
         }
@@ -149,3 +185,6 @@
         Ok(Some(kept))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/bin/sender/main.rs
+++ b/src/bin/sender/main.rs
@@ -4,7 +4,9 @@
 mod config;
 mod control;
 mod core;
+mod directory;
 mod discovery;
+mod first_catalogue;
 mod handover;
 mod input;
 mod journal;
@@ -15,6 +17,7 @@
 mod notices;
 mod owner;
 mod process_state;
+mod process_state_v1;
 mod server;
 
 use sender::api::MS;
@@ -130,7 +133,7 @@
     // Before a process that runs is asked to hand over: nobody serves from then on until this one does.
     let known = config::known(&config.catalogue);
     let claimed = tokio::select! {
-        claimed = handover::claim(&folder) => claimed,
+        claimed = handover::claim(&folder, &config.around) => claimed,
         () = signals.told() => return Ok(End::Told),
     };
     let (owner, before) = claimed.map_err(|e| format!("the right to {}: {e}", folder.display()))?;
@@ -153,16 +156,13 @@
     let sockets =
         config.limits.sockets.saturating_sub(OWN_SOCKETS + if config.control.is_some() { ASKS } else { 0 });
     let calls = (settings.slots * 2 + 32).max(sockets / 4).min(sockets * 3 / 8);
-    let client = client::Client::new(core_in.clone(), settings.dial_timeout, settings.idle_close, calls);
-    let client = Rc::new(client);
+    let directory = Rc::new(directory::Directory::new(&config.around, &settings.kinds));
+    let (dial, idle) = (settings.dial_timeout, settings.idle_close);
+    let client = Rc::new(client::Client::new(core_in.clone(), directory.clone(), dial, idle, calls));
     spawn_local(client.clone().keep_pool());
-    let version = known.generation();
-    let intake = list_intake::ListIntake::new(known.clone(), config.catalogue);
     let backoff = discovery::Backoff::new(settings.n_instances, config.seed);
     let (move_to, discovery) = watch::channel(config.discovery);
-    let following =
-        spawn_local(discovery::follow(discovery.clone(), core_in.clone(), backoff, intake, version));
-    let noticing = spawn_local(notices::run(discovery, notices, core_in.clone()));
+    let noticing = spawn_local(notices::run(discovery.clone(), notices, core_in.clone()));
     let move_to = Rc::new(move_to);
     let reloaded = move_to.clone();
     spawn_local(async move {
@@ -179,11 +179,17 @@
     let listen = config.listen;
     let around = config.around.clone();
     let effects = settings.classes.iter().map(|c| c.effect).collect();
+    let limits = config.catalogue;
+    let client = (directory.clone(), client);
     let mut core = core::Core::new(config, journal, maint, client, inbox, asks, notices_in);
     let (state, before) = before.unzip();
     let passed: HashSet<_> =
         state.iter().flat_map(|s| &s.calls).map(|&(id, attempt, _)| (id, attempt)).collect();
-    core.resume(known, state.map(|s| *s)).await;
+    let start = core.start(known, state.map(|s| *s));
+    let intake = list_intake::ListIntake::new(start.watched, limits);
+    let watch = discovery::follow(discovery, core_in.clone(), backoff, intake, start.generation);
+    let following = spawn_local(watch);
+    core.resume(start.unended, start.new_to_module).await;
     let out = core.calls().into_iter().filter(|(call, _)| passed.contains(call)).collect();
     let mut core = spawn_local(core.run());
 
--- a/src/bin/sender/maint.rs
+++ b/src/bin/sender/maint.rs
@@ -40,6 +40,11 @@
         self.names.out.contains(name)
     }
 
+    /// Whether operators have told anything of it that still counts.
+    pub fn knows(&self, name: &str) -> bool {
+        self.is_out(name) || self.names.back.contains_key(name)
+    }
+
     /// Names that are out, and those put back of late with the time of it.
     pub fn all(&self) -> impl Iterator<Item = (&String, Option<i64>)> {
         let back = self.names.back.iter().map(|(name, &at)| (name, Some(at)));
--- a/src/bin/sender/process_state.rs
+++ b/src/bin/sender/process_state.rs
@@ -1,6 +1,7 @@
 //! What passes from one process to the next in an upgrade, and what stays with the process that has handed over.
 use crate::input::Input;
-use sender::api::{DestId, EndpointId, Ns};
+use catalogue::{Catalogue, Endpoint, Lifecycle};
+use sender::api::{EndpointId, Ns};
 use sender::policy::Sender;
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
@@ -10,6 +11,11 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, Notify};
 
+/// Messages not ended, by number, with the end of their time and their attempts so far.
+pub type Unended = BTreeMap<u64, (Ns, u32)>;
+/// Bounds on how long connections may stand idle, by endpoint, with the age of each.
+pub type Keeps = Vec<(EndpointId, Duration, Duration)>;
+
 /// All that the next process needs besides the journal.
 #[derive(Serialize, Deserialize)]
 pub struct State {
@@ -18,29 +24,73 @@
     pub module: Sender,
     /// The module's time at a Unix time in nanoseconds: its clock goes on.
     pub clock: (Ns, u64),
-    pub endpoints: Vec<(String, usize)>,
-    /// Messages not ended, by number, with the end of their time and their attempts so far.
-    pub held: BTreeMap<u64, (Ns, u32)>,
+    pub numbered: Numbered,
+    pub held: Unended,
     /// Calls out.
     pub calls: Vec<(u64, u32, EndpointId)>,
     pub next_id: u64,
-    pub client: Known,
+    pub keeps: Keeps,
 }
 
-/// What passes on in an upgrade.
-#[derive(Serialize, Deserialize)]
-pub struct Known {
-    pub places: HashMap<EndpointId, Place>,
-    /// Bounds on idle time with the age of each.
-    pub keeps: Vec<(EndpointId, Duration, Duration)>,
+/// The endpoints that the module knows and the list names, under the module's numbers.
+#[derive(Serialize, Deserialize, Default)]
+pub struct Numbered {
+    pub endpoints: Vec<NumberedEndpoint>,
+    /// Above all numbers that were ever given.
+    pub next_id: EndpointId,
+    /// The generation of the list that they are from.
+    pub generation: Option<u64>,
 }
 
-#[derive(Serialize, Deserialize, Clone)]
-pub struct Place {
+#[derive(Serialize, Deserialize)]
+pub struct NumberedEndpoint {
+    pub number: EndpointId,
+    pub name: String,
     pub address: SocketAddr,
-    pub route: (DestId, Option<EndpointId>),
-    /// The list says that it is ready.
-    pub listed: bool,
+    pub zone: String,
+    pub machine_type: String,
+    pub destination: u64,
+    pub ready: bool,
+    pub weight: f64,
+}
+
+impl NumberedEndpoint {
+    pub fn new(number: EndpointId, endpoint: &Endpoint) -> NumberedEndpoint {
+        NumberedEndpoint {
+            number,
+            name: endpoint.name.to_string(),
+            address: endpoint.address,
+            zone: endpoint.zone.to_string(),
+            machine_type: endpoint.machine_type.to_string(),
+            destination: endpoint.destination,
+            ready: endpoint.lifecycle == Lifecycle::Ready,
+            weight: endpoint.weight,
+        }
+    }
+
+    pub fn endpoint(&self) -> Endpoint<'_> {
+        Endpoint {
+            name: &self.name,
+            address: self.address,
+            zone: &self.zone,
+            machine_type: &self.machine_type,
+            destination: self.destination,
+            lifecycle: if self.ready { Lifecycle::Ready } else { Lifecycle::Draining },
+            weight: self.weight,
+        }
+    }
+}
+
+impl Numbered {
+    /// What a module knows of a list.
+    pub fn of(catalogue: &Catalogue, known: impl Iterator<Item = EndpointId>) -> Numbered {
+        let listed = known.filter_map(|id| Some(NumberedEndpoint::new(id, &catalogue.get(id)?)));
+        Numbered {
+            endpoints: listed.collect(),
+            next_id: catalogue.next_id(),
+            generation: catalogue.generation(),
+        }
+    }
 }
 
 /// What is left to the process that has handed over: calls out, and who may still come.
