GET /healthz is 200 only with a list of endpoints to go by

The listener answered 200 whatever the sender knew: with a list that it refused (30,000 endpoints, before: 200 after 0.35 s, seven fetches in 6 s and no list) it was put in use and held all that it took on. Now it answers 503 until a list is in force: one that discovery has told, however short, or one of the configuration that names anything.

The test of changes that come where the whole list was asked for started its sender by waiting for a 200, which that sender must not give: it starts without the wait now, checks for 503, and asks for the same calls as before.

--- a/src/bin/sender/directory.rs
+++ b/src/bin/sender/directory.rs
@@ -3,7 +3,7 @@
 use sender::api::{Condition, DestId, EndpointId, Entry, Kind};
 use sender::on_demand;
 use sender::settings::Around;
-use std::cell::{Ref, RefCell};
+use std::cell::{Cell, Ref, RefCell};
 use std::net::SocketAddr;
 
 /// What shares one told wait: a destination, or one endpoint of it where routes are separate.
@@ -19,6 +19,7 @@
 /// The one holder of the snapshot in force on the loop.
 pub struct Directory {
     catalogue: RefCell<Catalogue>,
+    has_list: Cell<bool>,
     /// Names in the order of the settings' numbers.
     kinds: Vec<String>,
     zones: Vec<String>,
@@ -30,6 +31,7 @@
     pub fn new(around: &Around, kinds: &[Kind]) -> Directory {
         Directory {
             catalogue: RefCell::default(),
+            has_list: Cell::default(),
             kinds: around.kinds.clone(),
             zones: around.zones.clone(),
             properties: kinds.to_vec(),
@@ -40,8 +42,14 @@
         self.catalogue.borrow()
     }
 
+    /// Whether there is a list to go by: one that discovery has told, however short, or one that names anything.
+    pub fn has_list(&self) -> bool {
+        self.has_list.get()
+    }
+
     /// Puts a snapshot in force; the one before is what comes back.
     pub fn replace(&self, catalogue: Catalogue) -> Catalogue {
+        self.has_list.set(catalogue.generation().is_some() || !catalogue.is_empty());
         self.catalogue.replace(catalogue)
     }
 
--- a/src/bin/sender/main.rs
+++ b/src/bin/sender/main.rs
@@ -205,7 +205,14 @@
     let (change, phase) = watch::channel(server::Phase::Serving);
     let (moved_in, moved) = mpsc::unbounded_channel();
     let places = (sockets / 2, sockets / 16);
-    let server = Rc::new(server::Server::new(core_in.clone(), around, effects, places, phase, moved_in));
+    let server = Rc::new(server::Server::new(
+        (core_in.clone(), directory.clone()),
+        around,
+        effects,
+        places,
+        phase,
+        moved_in,
+    ));
     let accepting = spawn_local(server.clone().accept(accepts));
     if let Some(before) = before {
         handover::follow(before, out, core_in.clone(), asks_in.clone(), server.clone());
--- a/src/bin/sender/server.rs
+++ b/src/bin/sender/server.rs
@@ -1,5 +1,6 @@
 //! Clients in: takes requests, checks their form, and hands them to the core.
 use crate::client::MAX_BODY;
+use crate::directory::Directory;
 use crate::input::{Input, Reply};
 use crate::linger;
 use bytes::Bytes;
@@ -182,6 +183,7 @@
 
 pub struct Server {
     pub core: mpsc::Sender<Input>,
+    directory: Rc<Directory>,
     pub around: Around,
     pub effects: Vec<Effect>,
     /// Most connections that are served.
@@ -199,7 +201,7 @@
 
 impl Server {
     pub fn new(
-        core: mpsc::Sender<Input>,
+        (core, directory): (mpsc::Sender<Input>, Rc<Directory>),
         around: Around,
         effects: Vec<Effect>,
         (most, turned_away): (usize, usize),
@@ -207,7 +209,20 @@
         moved: mpsc::UnboundedSender<Moved>,
     ) -> Server {
         let (open, closed, links, next_link) = Default::default();
-        Server { core, around, effects, most, turned_away, open, closed, phase, moved, links, next_link }
+        Server {
+            core,
+            directory,
+            around,
+            effects,
+            most,
+            turned_away,
+            open,
+            closed,
+            phase,
+            moved,
+            links,
+            next_link,
+        }
     }
 
     /// Ends a connection that can be spared: clients keep what they once opened, and some never finish what they
@@ -414,8 +429,14 @@
         }
         let path = head.uri.path();
         if path == "/healthz" {
-            let get = matches!(head.method, Method::GET | Method::HEAD);
-            return if get { plain(StatusCode::OK, "") } else { wrong_method("GET, HEAD") };
+            return match head.method {
+                Method::GET | Method::HEAD if self.directory.has_list() => plain(StatusCode::OK, ""),
+                // It would hold all that it takes on until a list comes.
+                Method::GET | Method::HEAD => {
+                    plain(StatusCode::SERVICE_UNAVAILABLE, "no list of endpoints\n")
+                }
+                _ => wrong_method("GET, HEAD"),
+            };
         }
         // A name beyond ASCII comes as it is or percent-encoded.
         let named = path.trim_start_matches('/').split('/').next().unwrap_or_default();
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -222,7 +222,10 @@
         let whole = r.first.contains("/v1/servers ");
         whole.then(|| answer("200 OK", "", r#"{"generation": 3, "reset": false, "instances": []}"#))
     });
-    let _node = Node::with(&discovery, json!([]), large_fleet);
+    let node = Node::started(&discovery, json!([]), large_fleet);
+    node.until("it listens", || node.health().is_some());
+    // It never gets a list that it can use, so that nobody is to use it.
+    assert_eq!(node.health(), Some(503));
     let calls = lists(&discovery.peer.wait("seven calls for lists", |seen| lists(seen).len() >= 7));
     let mean = (calls[6].at - calls[0].at) / 6;
     assert!(mean > Duration::from_millis(300), "one each {mean:?}");
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -351,6 +351,13 @@
     }
 
     pub fn with(discovery: &Discovery, known: Value, change: impl Fn(&mut Value)) -> Node {
+        let node = Node::started(discovery, known, change);
+        node.until_ready();
+        node
+    }
+
+    /// Starts a sender and does not wait until it is ready.
+    pub fn started(discovery: &Discovery, known: Value, change: impl Fn(&mut Value)) -> Node {
         let number = FOLDERS.fetch_add(1, Ordering::SeqCst);
         let folder =
             Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("node-{}-{number}", std::process::id()));
@@ -377,7 +384,7 @@
         let mut node =
             Node { folder, address, control: None, discovery: discovery.peer.address, child: None, config };
         node.control = node.config["control"].as_str().map(|at| at.parse().unwrap());
-        node.restart();
+        node.child = Some(node.spawn());
         node
     }
 
@@ -426,10 +433,19 @@
     pub fn restart(&mut self) {
         assert!(self.child.is_none(), "still running");
         self.child = Some(self.spawn());
+        self.until_ready();
+    }
+
+    /// What it answers of its health; None where nobody listens yet.
+    pub fn health(&self) -> Option<u16> {
+        let answer = self.ask(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")?;
+        answer.first.split(' ').nth(1)?.parse().ok()
+    }
+
+    pub fn until_ready(&self) {
         let until = Instant::now() + BOUND;
         loop {
-            let health = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
-            if self.ask(health.as_bytes()).is_some_and(|r| r.first.contains(" 200")) {
+            if self.health() == Some(200) {
                 return;
             }
             assert!(Instant::now() < until, "never ready: {}", self.log());
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -879,3 +879,37 @@
     assert_eq!(node.hand_in("alert", "m", 7, 16_000, b"x"), 202);
     endpoint.wait_for("m", 1);
 }
+
+#[test]
+fn a_sender_is_healthy_only_with_a_list_that_it_can_use() {
+    let endpoint = Peer::new(|_| ok());
+    let listed = json!([ready("e-1", endpoint.address, 7), ready("e-2", endpoint.address, 8)]);
+    let bound = |most: usize| move |c: &mut Value| c["catalogue"] = json!({"max_entries": most});
+    // The list of the configuration is enough while discovery is silent, and is not where it is over its bounds.
+    let silent = Discovery::new(json!([]));
+    silent.silence();
+    let known = Node::with(&silent, listed.clone(), bound(2));
+    assert_eq!(known.health(), Some(200));
+    let over = Node::started(&silent, listed.clone(), bound(1));
+    over.until("it listens", || over.health().is_some());
+    assert_eq!(over.health(), Some(503));
+    assert!(over.log().contains("2 endpoints or more, 1 are allowed"), "{}", over.log());
+    // So is a list of discovery that it refuses, until one comes that fits.
+    let discovery = Discovery::new(listed.clone());
+    let refusing = Node::started(&discovery, json!([]), bound(1));
+    refusing.until("the list is refused", || refusing.log().contains("2 endpoints or more, 1 are allowed"));
+    refusing.until("it listens", || refusing.health().is_some());
+    assert_eq!(refusing.health(), Some(503));
+    let calls = |seen: &[Request]| seen.iter().filter(|r| r.first.contains("/v1/servers")).count();
+    std::thread::sleep(Duration::from_secs(1));
+    assert_eq!(calls(&discovery.peer.seen()), 1, "it is not fetched again at once");
+    // An old list goes before one that is refused.
+    let old = Node::with(&discovery, json!([ready("e-1", endpoint.address, 7)]), bound(1));
+    old.until("the list is refused", || old.log().contains("2 endpoints or more, 1 are allowed"));
+    assert_eq!(old.health(), Some(200));
+    assert_eq!(old.hand_in("alert", "m", 7, 16_000, b"x"), 202);
+    endpoint.wait_for("m", 1);
+    // Discovery may have told that there is nothing.
+    let none = Discovery::new(json!([]));
+    assert_eq!(Node::with(&none, json!([]), |_| {}).health(), Some(200));
+}
