Tests of the core: lists older than a handover, operators' words before a list

Need: what a process does with a list older than the one handed over, and with operators' words on names that no list has yet, stood untested. Change: tests alone.

--- a/src/bin/sender/core/tests.rs
+++ b/src/bin/sender/core/tests.rs
@@ -209,12 +209,30 @@
     catalogue::intake::read(bytes.as_bytes(), &Catalogue::default(), &limits).unwrap().catalogue
 }
 
+/// A list of one endpoint of destination 7.
+fn one_listed(name: &str, at: std::net::SocketAddr, generation: u64) -> Catalogue {
+    read_list(&json!({"generation": generation, "reset": true, "instances": [{"instanceId": name,
+        "hostPort": at.to_string(), "zone": "z", "machineType": "plain", "cell": 7, "lifecycle": "Ready",
+        "weight": 1.0, "startedAtMs": 0}]}))
+}
+
 /// A core that serves on such a disk: its inbox, its syncs, and the calls that its endpoint gets.
 async fn started(folder: &Path) -> (mpsc::Sender<Input>, Syncs, Rc<Cell<usize>>) {
-    let syncs = Syncs::new();
     let calls = Rc::new(Cell::new(0));
     let at = endpoint(calls.clone()).await;
+    let (core_in, syncs, _) = started_with(folder, one_listed("e-1", at, 1), |_| None).await;
+    (core_in, syncs, calls)
+}
+
+/// The same with a list and what another process may have handed over; also what its watch goes on from.
+async fn started_with(
+    folder: &Path,
+    known: Catalogue,
+    state: impl Fn(&Config) -> Option<State>,
+) -> (mpsc::Sender<Input>, Syncs, Catalogue) {
+    let syncs = Syncs::new();
     let config = config(folder);
+    let state = state(&config);
     let (core_in, inbox) = mpsc::channel(64);
     let (_, asks) = mpsc::channel(1);
     let (notices, _) = mpsc::unbounded_channel();
@@ -223,12 +241,29 @@
     let listed = (directory, Rc::new(client));
     let maint = Maint::open(folder, 1).unwrap();
     let mut core = Core::new(config, journal(folder, &syncs), maint, listed, inbox, asks, notices);
-    let list = json!({"generation": 1, "reset": true, "instances": [{"instanceId": "e-1", "hostPort": at.to_string(),
-        "zone": "z", "machineType": "plain", "cell": 7, "lifecycle": "Ready", "weight": 1.0, "startedAtMs": 0}]});
-    let start = core.start(read_list(&list), None);
+    let start = core.start(known, state);
     core.resume(start.unended, start.new_to_module).await;
     spawn_local(core.run());
-    (core_in, syncs, calls)
+    (core_in, syncs, start.watched)
+}
+
+/// What a process has handed over whose module knows nothing, of a list of a generation.
+fn handed_over(config: &Config, generation: u64) -> State {
+    State {
+        settings: config.told.clone(),
+        module: Sender::new(config.settings.clone(), 1),
+        clock: (CLOCK_START, wall_ns()),
+        numbered: Numbered { endpoints: Vec::new(), next_id: 5, generation: Some(generation) },
+        held: Unended::new(),
+        calls: Vec::new(),
+        next_id: 0,
+        keeps: Vec::new(),
+    }
+}
+
+fn changes(catalogue: Catalogue, changed: Vec<EndpointId>) -> Input {
+    let (generation, entries) = (catalogue.generation().unwrap_or(0), changed.len());
+    Input::Catalogue(intake::Taken { catalogue, generation, reset: false, changed, entries, unreadable: 0 })
 }
 
 fn on_one_thread(test: impl Future<Output = ()>) {
@@ -309,3 +344,56 @@
     let left = journal(&folder.0, &syncs);
     assert!(left.live().values().all(|owed| owed.taken.trace != "m1"));
 }
+
+#[test]
+fn what_an_old_list_names_beyond_a_handover_is_called_once_the_first_answer_has_come() {
+    let folder = Folder::new("partial");
+    on_one_thread(async {
+        let calls = Rc::new(Cell::new(0));
+        let at = endpoint(calls.clone()).await;
+        let known = one_listed("e-1", at, 1);
+        let (core, _, watched) = started_with(&folder.0, known, |c| Some(handed_over(c, 2))).await;
+        let (input, answer) = offer("m1");
+        core.send(input).await.unwrap();
+        assert!(matches!(answer.await, Ok(Reply::TakenOn)));
+        for _ in 0..200 {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(calls.get(), 0, "the process before may have been told that it is gone");
+        // Nothing has changed since, so that the answer names nothing.
+        core.send(changes(watched, Vec::new())).await.unwrap();
+        until("it is delivered", || calls.get() == 1).await;
+    });
+}
+
+#[test]
+fn what_operators_took_out_before_a_list_named_it_gets_nothing_until_they_put_it_back() {
+    let folder = Folder::new("unlisted");
+    std::fs::write(folder.0.join("maint"), r#"{"out": ["e-1"]}"#).unwrap();
+    on_one_thread(async {
+        let calls = Rc::new(Cell::new(0));
+        let at = endpoint(calls.clone()).await;
+        let (core, ..) = started_with(&folder.0, Catalogue::default(), |_| None).await;
+        let (input, answer) = offer("m1");
+        core.send(input).await.unwrap();
+        assert!(matches!(answer.await, Ok(Reply::TakenOn)));
+        let listed = one_listed("e-1", at, 1);
+        let id = listed.id("e-1").unwrap();
+        core.send(changes(listed, vec![id])).await.unwrap();
+        let change = |name: &str| {
+            let (reply, change) = oneshot::channel();
+            (Input::Maint { name: name.into(), out: false, reply }, change)
+        };
+        let (input, unknown) = change("e-2");
+        core.send(input).await.unwrap();
+        assert_eq!(unknown.await, Ok(Change::Unknown));
+        for _ in 0..200 {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(calls.get(), 0);
+        let (input, done) = change("e-1");
+        core.send(input).await.unwrap();
+        assert_eq!(done.await, Ok(Change::Done));
+        until("it is delivered", || calls.get() == 1).await;
+    });
+}
