An endpoint's place among equals by a hash of the sender's seed and its number

Need: it was drawn from the random stream for each entry of each list, so it depended on when and in which order state is made, and differed for an endpoint that comes back. Change: a SplitMix64 hash; the seed is kept with the state. State of versions that kept none takes what the random stream holds.

--- a/src/policy/listed.rs
+++ b/src/policy/listed.rs
@@ -38,9 +38,7 @@
         }
         for entry in entries {
             let (dest, kind, zone) = (entry.dest, entry.kind, entry.zone);
-            // Each sender has an order of its own among equals: a fleet whose senders have a call out
-            // now and then would else send nearly all of them to the endpoint that its list names first.
-            let lot = (self.random() * f64::from(u32::MAX)) as u32;
+            let lot = lot(self.seed, entry.endpoint);
             let known = self.endpoints.entry(entry.endpoint).or_insert_with(|| Endpoint { lot, ..unused() });
             (known.dest, known.kind, known.zone) = (dest, kind, zone);
             known.listed = entry.condition == Condition::Ready;
@@ -128,3 +126,13 @@
 fn unused() -> Endpoint {
     Endpoint { used_at: LONG_AGO, served_at: LONG_AGO, gap: Ns::MAX, ..Endpoint::default() }
 }
+
+/// A sender's order among equal endpoints, the same whenever an endpoint's state is made. A fleet whose senders have
+/// a call out now and then would else send nearly all of them to the endpoint that its list names first.
+fn lot(seed: u64, endpoint: EndpointId) -> u32 {
+    // The finalizer of SplitMix64.
+    let mut z = seed.wrapping_add((u64::from(endpoint) + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    ((z ^ (z >> 31)) >> 32) as u32
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -170,6 +170,7 @@
 pub struct Sender {
     #[serde(skip)]
     cfg: Settings,
+    seed: u64,
     random: u64,
     now: Ns,
     messages: BTreeMap<MsgId, Held>,
@@ -198,13 +199,15 @@
 
 impl Sender {
     pub fn new(cfg: Settings, seed: u64) -> Sender {
-        Sender { cfg, random: seed, next_end: Ns::MAX, decided_at: LONG_AGO, ..Sender::default() }
+        Sender { cfg, seed, random: seed, next_end: Ns::MAX, decided_at: LONG_AGO, ..Sender::default() }
     }
 
     /// Goes on with what another process decided under the same settings; the clock must go on too. No timer
     /// is asked for any more.
     pub fn taken_over(self, cfg: Settings) -> Sender {
-        Sender { cfg, timer_at: None, ..self }
+        // Versions before this one did not keep their seed.
+        let seed = if self.seed == 0 { self.random } else { self.seed };
+        Sender { cfg, seed, timer_at: None, ..self }
     }
 
     /// What it has learned, without the messages and calls of this process.
@@ -219,7 +222,7 @@
     /// its connections are gone, and a told wait ends with a restart. A cold return under way goes on.
     pub fn restarted(self, cfg: Settings, seed: u64) -> Sender {
         let mut new =
-            Sender { cfg, random: seed, timer_at: None, next_end: Ns::MAX, open: 0, trials: 0, ..self };
+            Sender { cfg, seed, random: seed, timer_at: None, next_end: Ns::MAX, open: 0, trials: 0, ..self };
         new.endpoints.values_mut().for_each(|e| (e.in_flight, e.warm) = (0, 0));
         for route in new.routes.values_mut() {
             (route.in_flight, route.wait_until) = (0, LONG_AGO);
--- a/src/state.rs
+++ b/src/state.rs
@@ -58,7 +58,7 @@
     pub dest: DestId,
     pub kind: usize,
     pub zone: usize,
-    /// Drawn; the lowest goes first where all else is equal.
+    /// By the sender's seed; the lowest goes first where all else is equal.
     pub lot: u32,
     /// As the list has it.
     pub listed: bool,
