The simulator's adapter tells the module of a destination with its first message

Change: the adapter keeps what lists named and uses OnDemandList. A route made by a lookup starts as if it had been made with the sender's first list, whose time the module keeps: its share of a limit and its tokens have grown since.

--- a/src/bin/simulator-adapter/host.rs
+++ b/src/bin/simulator-adapter/host.rs
@@ -1,5 +1,7 @@
 //! Wire lines to `api` events for each sender, and its actions back to lines.
+use crate::listed::Listed;
 use sender::api::*;
+use sender::on_demand::OnDemandList;
 use sender::policy::Sender;
 use sender::settings::{self, Around};
 use std::collections::{BTreeMap, HashMap};
@@ -20,6 +22,8 @@
 
 struct Instance {
     sender: Sender,
+    listed: Listed,
+    on_demand: OnDemandList,
     around: Around,
     events: Vec<Event>,
     endpoints: HashMap<String, EndpointId>,
@@ -165,6 +169,7 @@
             let events = std::mem::take(&mut instance.events);
             self.actions.clear();
             instance.sender.handle(now, &events, &mut self.actions);
+            instance.on_demand.handled();
             if !self.actions.is_empty() {
                 let _ = writeln!(reply, "AT\tSender={number}");
                 for action in &self.actions {
@@ -180,6 +185,8 @@
     fn new(sender: Sender, around: Around) -> Instance {
         Instance {
             sender,
+            listed: Listed::default(),
+            on_demand: OnDemandList::default(),
             around,
             events: Vec::new(),
             endpoints: HashMap::new(),
@@ -202,9 +209,7 @@
                 };
                 let slot: u64 = f.parse("Slot")?;
                 let table = tables.get(&slot).ok_or(format!("ANNOUNCE field Slot names no TABLE: {slot}"))?;
-                let entries =
-                    table.iter().map(|e| Entry { endpoint: self.endpoint(&e.name), ..e.entry }).collect();
-                self.events.push(Event::List { whole, entries });
+                self.announce(whole, table);
             }
             "WORK_ITEM" => {
                 let name = f.text("Ref")?;
@@ -220,6 +225,8 @@
                 self.next_id += 1;
                 self.ids.insert(name.to_string(), message.id);
                 self.held.insert(message.id, Held { name: name.to_string(), out: 0, over: false });
+                let (policy, listed) = (&self.sender, &self.listed);
+                self.on_demand.before_message(policy, listed, message.dest, &mut self.events);
                 self.events.push(Event::Message(message));
             }
             "ELAPSED" => self.events.push(Event::Timer),
@@ -263,6 +270,24 @@
         Ok(())
     }
 
+    fn announce(&mut self, whole: bool, table: &[WireEntry]) {
+        if whole {
+            self.listed.clear();
+        }
+        let mut changed = Vec::new();
+        for line in table {
+            let endpoint = self.endpoint(&line.name);
+            self.listed.set(Entry { endpoint, ..line.entry });
+            changed.push(endpoint);
+        }
+        let (policy, listed) = (&self.sender, &self.listed);
+        if whole {
+            self.on_demand.replaced(policy, listed, &mut self.events);
+        } else {
+            self.on_demand.changed(policy, listed, &changed, &mut self.events);
+        }
+    }
+
     fn endpoint(&mut self, name: &str) -> EndpointId {
         if let Some(&id) = self.endpoints.get(name) {
             return id;
--- a/src/bin/simulator-adapter/main.rs
+++ b/src/bin/simulator-adapter/main.rs
@@ -1,5 +1,6 @@
 //! The adapter: the simulator's wire on standard input and output, many senders in one process.
 mod host;
+mod listed;
 
 use std::io::{BufRead, Write};
 
--- a/src/policy/listed.rs
+++ b/src/policy/listed.rs
@@ -33,6 +33,7 @@
 
     /// Follows the list. Draining and gone endpoints are unusable before anything of the batch is sent.
     pub(super) fn list(&mut self, whole: bool, entries: &[Entry]) {
+        let since = *self.first_list_at.get_or_insert(self.now);
         if whole {
             self.endpoints.values_mut().for_each(|e| (e.listed, e.usable) = (false, false));
         }
@@ -46,11 +47,11 @@
             let id = self.route_of(entry.endpoint);
             let route = self.routes.entry(id).or_insert_with(|| Route {
                 share: 1.0 / self.cfg.n_instances.clamp(1, FEW) as f64,
-                share_at: self.now,
+                share_at: since,
                 tokens: 1.0,
-                filled_at: self.now,
-                sent: Use::since(self.now),
-                usual: Use::since(self.now),
+                filled_at: since,
+                sent: Use::since(since),
+                usual: Use::since(since),
                 ..Route::default()
             });
             // What is gone tells nothing of its neighbours' limit.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -191,6 +191,8 @@
     /// Endpoints whose calls ended in this batch, and when each kind last took no connection.
     ended: Vec<EndpointId>,
     scarce_at: BTreeMap<usize, Ns>,
+    /// State that is made later is made as if it had been then, as what needs none has none.
+    first_list_at: Option<Ns>,
     next_end: Ns,
     forgot_at: Ns,
     decided_at: Ns,
