Latency cells and arrivals by use

Need: each destination had a table of classes x levels of 32 B each, mostly empty. Change: a sorted map by (class, level) of the cells that were booked, dropped in the periodic part once their aged count is under 1e-6 (a cell counts from 0.15 on). The fixture's continuation is the same action for action, also after it is written in the new form.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod settings;
 mod state;
 mod statistics;
+mod stored;
--- a/src/policy/caps.rs
+++ b/src/policy/caps.rs
@@ -21,15 +21,15 @@
 /// The design's rule: the level with the best level x share of classes that meet their aim there.
 pub(super) fn choose_cap(cfg: &Settings, dest: &mut Dest, now: Ns) {
     let top = top(cfg);
-    let shares: Vec<f64> = dest.arrivals.iter().map(|a| a.aged(now)).collect();
+    let shares: Vec<f64> = (0..cfg.classes.len()).map(|class| dest.arrivals.aged(class, now)).collect();
     let mut scores = vec![0.0; top + 1];
     for (class, settings) in cfg.classes.iter().enumerate() {
-        let cells = &dest.cells[class * (top + 1)..(class + 1) * (top + 1)];
-        let measured: Vec<usize> = (1..=top).filter(|&l| cells[l].aged(now) >= MEASURED).collect();
+        let cells = dest.cells.range((class, 1)..=(class, top)).iter();
+        let measured: Vec<_> = cells.filter(|(_, cell)| cell.aged(now) >= MEASURED).collect();
         for (level, score) in scores.iter_mut().enumerate().skip(1) {
             // An unmeasured level borrows the nearest; an unmeasured class just meets its aim at the cap.
-            let meets = match measured.iter().min_by_key(|&&m| (m.abs_diff(level), m)) {
-                Some(&nearest) => cells[nearest].bound(1.0) < settings.aim as f64,
+            let meets = match measured.iter().min_by_key(|((_, l), _)| (l.abs_diff(level), *l)) {
+                Some((_, nearest)) => nearest.bound(1.0) < settings.aim as f64,
                 None => level <= dest.cap,
             };
             if meets {
--- a/src/policy/listed.rs
+++ b/src/policy/listed.rs
@@ -1,10 +1,10 @@
-//! State by listed endpoint: made as lists, operators and messages name them, dropped where nothing depends on it.
+//! State by endpoint: made as lists, operators and messages name them, dropped where nothing depends on it.
 
 use super::caps::top;
-use super::{Sender, FEW, KEEP, ROUGH};
+use super::{Sender, FADED, FEW, KEEP, ROUGH};
 use crate::api::*;
 use crate::state::*;
-use crate::statistics::{Stat, Use};
+use crate::statistics::Use;
 use std::collections::BTreeSet;
 
 impl Sender {
@@ -21,6 +21,8 @@
         });
         let active = &self.active;
         self.dests.retain(|id, dest| {
+            dest.cells.drop_under(FADED, now);
+            dest.arrivals.drop_under(FADED, now);
             dest.places.retain(|e| endpoints.get(e).is_some_and(|e| e.dest == *id));
             !dest.places.is_empty() || active.contains(id)
         });
@@ -106,14 +108,8 @@
     }
 
     pub(super) fn dest(&mut self, id: DestId) -> &mut Dest {
-        let top = top(&self.cfg);
-        let classes = self.cfg.classes.len();
-        self.dests.entry(id).or_insert_with(|| Dest {
-            cap: top,
-            cells: vec![Stat::default(); classes * (top + 1)],
-            arrivals: vec![Stat::default(); classes],
-            ..Dest::default()
-        })
+        let cap = top(&self.cfg);
+        self.dests.entry(id).or_insert_with(|| Dest { cap, ..Dest::default() })
     }
 
     pub(super) fn route_of(&self, endpoint: EndpointId) -> RouteId {
@@ -128,8 +124,8 @@
     Endpoint { used_at: LONG_AGO, served_at: LONG_AGO, gap: Ns::MAX, ..Endpoint::default() }
 }
 
-/// A sender's order among equal endpoints, the same whenever an endpoint's state is made. A fleet whose senders have
-/// a call out now and then would else send nearly all of them to the endpoint that its list names first.
+/// A sender's order among equal endpoints, the same whenever an endpoint's state is made. A fleet whose
+/// senders have a call out now and then would else send nearly all to the endpoint that its list names first.
 fn lot(seed: u64, endpoint: EndpointId) -> u32 {
     // The finalizer of SplitMix64.
     let mut z = seed.wrapping_add((u64::from(endpoint) + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15));
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -24,6 +24,8 @@
 /// Half-life of what is measured, and the weight under which a cell counts as unmeasured again.
 pub(crate) const HALF_LIFE: f64 = 3e9;
 const MEASURED: f64 = 0.15;
+/// Weight under which it is dropped: whatever is measured next outweighs it by far.
+const FADED: f64 = 1e-6;
 /// Share of the slots that calls to all routes in doubt may hold together.
 const DOUBT_SLOTS: f64 = 0.25;
 /// Failures without a success between, or share of failures (aged), that put a route in doubt.
@@ -360,7 +362,7 @@
         }
         self.messages.insert(message.id, held);
         self.open += 1;
-        self.dest(message.dest).arrivals[message.class].book(now, 1.0);
+        self.dest(message.dest).arrivals.book(message.class, now, 1.0);
         self.hold(message.id);
     }
 
@@ -416,8 +418,7 @@
                     | Outcome::Crowded
                     | Outcome::Malformed
             ) {
-                let cells = dest.cells.len() / self.cfg.classes.len();
-                dest.cells[message.class * cells + level].book(now, took as f64);
+                dest.cells.book((message.class, level), now, took as f64);
             }
             if e.outcome == Outcome::Served {
                 dest.served.book(now, 1.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,8 @@
 //! every tuned value is in `policy`.
 
 use crate::api::*;
-use crate::statistics::{Stat, Use};
+use crate::statistics::{Stat, StatMap, Use};
+use crate::stored::StoredDest;
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
@@ -121,7 +122,7 @@
 }
 
 #[derive(Default, Serialize, Deserialize)]
-#[serde(default)]
+#[serde(from = "StoredDest")]
 pub struct Dest {
     pub cap: usize,
     pub in_flight: usize,
@@ -129,9 +130,9 @@
     pub places: Vec<EndpointId>,
     /// When it is looked at next, by `Sender::agenda`.
     pub look_at: Ns,
-    /// Latency per class and level, arrivals per class, and latency of all calls.
-    pub cells: Vec<Stat>,
-    pub arrivals: Vec<Stat>,
+    /// Latency by class and level, arrivals by class, and latency of all calls.
+    pub cells: StatMap<(usize, usize)>,
+    pub arrivals: StatMap<usize>,
     pub latency: Stat,
     /// Messages served: the rate at which held ones may expect their turn.
     pub served: Stat,
--- a/src/statistics.rs
+++ b/src/statistics.rs
@@ -3,6 +3,7 @@
 use crate::api::{Ns, SECOND};
 use crate::policy::{HALF_LIFE, USE_SPAN};
 use serde::{Deserialize, Serialize};
+use std::ops::RangeInclusive;
 
 /// Aged count, mean and deviation.
 #[derive(Clone, Copy, Default, Serialize, Deserialize)]
@@ -34,6 +35,53 @@
     }
 }
 
+/// Statistics by key, only of those keys that were booked.
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct StatMap<K> {
+    /// In ascending order of their keys.
+    entries: Vec<(K, Stat)>,
+}
+
+impl<K> Default for StatMap<K> {
+    fn default() -> StatMap<K> {
+        StatMap { entries: Vec::new() }
+    }
+}
+
+impl<K: Ord + Copy> StatMap<K> {
+    pub fn book(&mut self, key: K, now: Ns, x: f64) {
+        let place = self.entries.binary_search_by_key(&key, |entry| entry.0).unwrap_or_else(|place| {
+            self.entries.insert(place, (key, Stat::default()));
+            place
+        });
+        self.entries[place].1.book(now, x);
+    }
+    /// Those whose keys lie in a range, in ascending order.
+    pub fn range(&self, keys: RangeInclusive<K>) -> &[(K, Stat)] {
+        let from = self.entries.partition_point(|entry| entry.0 < *keys.start());
+        let to = self.entries.partition_point(|entry| entry.0 <= *keys.end());
+        &self.entries[from..to]
+    }
+    /// The aged count under a key.
+    pub fn aged(&self, key: K, now: Ns) -> f64 {
+        self.range(key..=key).first().map_or(0.0, |entry| entry.1.aged(now))
+    }
+    /// Drops those whose aged count is under a bound, and gives their memory back.
+    pub fn drop_under(&mut self, least: f64, now: Ns) {
+        self.entries.retain(|entry| entry.1.aged(now) >= least);
+        self.entries.shrink_to_fit();
+    }
+}
+
+impl<K: Ord + Copy> FromIterator<(K, Stat)> for StatMap<K> {
+    fn from_iter<I: IntoIterator<Item = (K, Stat)>>(entries: I) -> StatMap<K> {
+        let mut entries: Vec<(K, Stat)> = entries.into_iter().collect();
+        entries.sort_by_key(|entry| entry.0);
+        StatMap { entries }
+    }
+}
+
 /// Aged count of calls, and the aged time in which they were seen.
 #[derive(Clone, Copy, Default, Serialize, Deserialize)]
 pub struct Use {
--- a/tests/old_state.rs
+++ b/tests/old_state.rs
@@ -60,11 +60,23 @@
     text
 }
 
+/// Goes on from a state, as that version did.
+fn go_on(state: &[u8]) -> String {
+    let sender: Sender = rmp_serde::from_slice(state).expect("the state is read");
+    let cfg = Settings { max_open: 10_000, ..settings() };
+    let mut stand = Stand { sender: sender.taken_over(cfg), now: T0 + 20 * SECOND, actions: Vec::new() };
+    play(&mut stand, &mut answers_to_calls_out(), 1_000, 300)
+}
+
 #[test]
 fn a_table_of_cells_is_read_and_decisions_go_on() {
+    assert_eq!(go_on(DENSE_CELLS), DENSE_CELLS_NEXT);
+}
+
+#[test]
+fn a_state_read_from_an_older_version_is_written_in_this_version_s_form_and_read_back() {
     let sender: Sender = rmp_serde::from_slice(DENSE_CELLS).expect("the fixture is read");
-    let cfg = Settings { max_open: 10_000, ..settings() };
-    let mut stand = Stand { sender: sender.taken_over(cfg), now: T0 + 20 * SECOND, actions: Vec::new() };
-    let mut answers = answers_to_calls_out();
-    assert_eq!(play(&mut stand, &mut answers, 1_000, 300), DENSE_CELLS_NEXT);
+    let written = rmp_serde::to_vec_named(&sender).expect("state is plain data");
+    assert!(written.len() < DENSE_CELLS.len(), "{} bytes, a table {}", written.len(), DENSE_CELLS.len());
+    assert_eq!(go_on(&written), DENSE_CELLS_NEXT);
 }
