State of unused destinations is forgotten

Need: state must follow the destinations that a sender works on, not all that it ever met. Change: the periodic part drops destinations with their endpoints and routes that were not used for 60 s, and the longest unused ones past 2,048, where nothing known of them holds calls back: calls out, held work, a told wait or pause, doubt, a cold return, an endpoint taken out or just put back. It runs each 10 s, and as soon as 2,048 more are known. Only from the first Event::LookedUp on: a caller that tells whole lists could not tell them again.

--- a/src/api.rs
+++ b/src/api.rs
@@ -206,6 +206,11 @@
         whole: bool,
         entries: Vec<Entry>,
     },
+    /// The entries of a destination, ahead of a message for it. From the first of these on the module drops the state
+    /// of destinations that it does not need: the caller looks them up again (`on_demand`).
+    LookedUp {
+        entries: Vec<Entry>,
+    },
     Message(Message),
     /// Operators take an endpoint out, whatever lists say of it, or have put it back at a time: from then on
     /// it is cold.
--- a/src/on_demand.rs
+++ b/src/on_demand.rs
@@ -1,13 +1,42 @@
 //! Lists on demand: the policy is told of a destination only once there is a message for it.
 //!
 //! The caller keeps what is listed in a [`Directory`] of its own, in whatever compact form suits it. This module turns
-//! messages and changes of the directory into the [`Event::List`]s that the policy needs, so that the policy holds
-//! state for the destinations that it works on, and never for all that are listed.
+//! messages and changes of the directory into the [`Event::LookedUp`] and [`Event::List`] that the policy needs, so that
+//! it holds state for the destinations that it works on, and never for all that are listed.
 
 use crate::api::{Condition, DestId, EndpointId, Entry, Event};
 use crate::policy::Sender;
 use std::collections::{BTreeMap, BTreeSet};
 
+impl Sender {
+    /// Whether it holds state for a destination: changes of the list that concern it have to be told.
+    pub fn knows(&self, destination: DestId) -> bool {
+        self.dests.contains_key(&destination)
+    }
+
+    /// Whether it holds state for an endpoint.
+    pub fn knows_endpoint(&self, endpoint: EndpointId) -> bool {
+        self.endpoints.contains_key(&endpoint)
+    }
+
+    /// The destinations that it holds state for, in ascending order.
+    pub fn known_destinations(&self) -> impl Iterator<Item = DestId> + '_ {
+        self.dests.keys().copied()
+    }
+
+    /// The endpoints that it holds state for, in ascending order.
+    pub fn known_endpoints(&self) -> impl Iterator<Item = EndpointId> + '_ {
+        self.endpoints.keys().copied()
+    }
+
+    /// An endpoint as it was last told, where that was ready; without a hint.
+    fn ready_entry(&self, endpoint: EndpointId) -> Option<Entry> {
+        let known = self.endpoints.get(&endpoint).filter(|e| e.listed)?;
+        let (dest, kind, zone) = (known.dest, known.kind, known.zone);
+        Some(Entry { endpoint, dest, kind, zone, condition: Condition::Ready, hint: 0.0 })
+    }
+}
+
 /// What is listed, by endpoint and by destination.
 pub trait Directory {
     /// None: not listed, or not any more.
@@ -37,7 +66,11 @@
         if policy.knows(destination) || !self.looked_up.insert(destination) {
             return;
         }
-        self.tell(false, entries_of(directory, destination), events);
+        let entries = entries_of(directory, destination);
+        if !entries.is_empty() {
+            self.note(&entries);
+            events.push(Event::LookedUp { entries });
+        }
     }
 
     /// To be called after `endpoints` have changed in the directory, those that left it included.
@@ -49,8 +82,11 @@
         events: &mut Vec<Event>,
     ) {
         let change = |&endpoint: &EndpointId| self.change(policy, directory, endpoint);
-        let entries = endpoints.iter().filter_map(change).collect();
-        self.tell(false, entries, events);
+        let entries: Vec<Entry> = endpoints.iter().filter_map(change).collect();
+        if !entries.is_empty() {
+            self.note(&entries);
+            events.push(Event::List { whole: false, entries });
+        }
     }
 
     /// To be called after the whole directory was replaced, also by the first one.
@@ -58,7 +94,9 @@
         let destinations: BTreeSet<DestId> =
             policy.known_destinations().chain(self.looked_up.iter().copied()).collect();
         let entries = destinations.into_iter().flat_map(|destination| entries_of(directory, destination));
-        self.tell(true, entries.collect(), events);
+        let entries: Vec<Entry> = entries.collect();
+        self.note(&entries);
+        events.push(Event::List { whole: true, entries });
     }
 
     /// To be called once the policy has handled the events.
@@ -77,11 +115,8 @@
         })
     }
 
-    fn tell(&mut self, whole: bool, entries: Vec<Entry>, events: &mut Vec<Event>) {
-        if whole || !entries.is_empty() {
-            self.told.extend(entries.iter().map(|entry| (entry.endpoint, *entry)));
-            events.push(Event::List { whole, entries });
-        }
+    fn note(&mut self, entries: &[Entry]) {
+        self.told.extend(entries.iter().map(|entry| (entry.endpoint, *entry)));
     }
 }
 
--- a/src/policy/listed.rs
+++ b/src/policy/listed.rs
@@ -1,23 +1,27 @@
 //! State by endpoint: made as lists, operators and messages name them, dropped where nothing depends on it.
 
 use super::caps::top;
-use super::{Sender, FADED, FEW, KEEP, ROUGH};
+use super::{Sender, FADED, FEW, IDLE_FOR, KEEP, MOST_IDLE, ROUGH};
 use crate::api::*;
 use crate::state::*;
 use crate::statistics::Use;
 use std::collections::BTreeSet;
 
 impl Sender {
-    /// Drops what the list no longer names and nothing depends on: calls out, a told wait, an outage seen.
+    /// Drops what the list no longer names and what is not used, where nothing depends on it.
     pub(super) fn forget(&mut self) {
         let (now, cold) = (self.now, self.cfg.cold);
-        self.endpoints
-            .retain(|_, e| e.listed || e.in_flight > 0 || e.back_at.is_some_and(|at| now - at <= cold));
+        let unused = self.unused();
+        self.endpoints.retain(|_, e| {
+            let returns = e.back_at.is_some_and(|at| now - at <= cold);
+            (e.listed && !unused.contains(&e.dest)) || e.in_flight > 0 || returns
+        });
         let endpoints = &self.endpoints;
         let named: BTreeSet<RouteId> = endpoints.keys().map(|&e| self.route_of(e)).collect();
         self.routes.retain(|id, r| {
             let seen = r.back_at.max(r.next_trial).max(r.wait_until);
-            named.contains(id) || r.in_flight > 0 || now < seen.saturating_add(KEEP.max(self.cfg.cold))
+            let recent = now < seen.saturating_add(KEEP.max(cold)) && !unused.contains(&id.0);
+            named.contains(id) || r.in_flight > 0 || recent
         });
         let active = &self.active;
         self.dests.retain(|id, dest| {
@@ -30,15 +34,52 @@
         let dests = &self.dests;
         self.agenda.retain(|(_, id)| dests.contains_key(id));
         self.keys.retain(|_, turn| !turn.queue.is_empty() || turn.rest_until > now);
-        self.forgot_at = now;
+        (self.forgot_at, self.remembered) = (now, self.dests.len());
+    }
+
+    /// Destinations that were not used for long, and the longest unused ones past a bound.
+    fn unused(&self) -> BTreeSet<DestId> {
+        let idle = |(id, dest): &(&DestId, &Dest)| !self.active.contains(id) && !self.restrains(**id, dest);
+        let idle = self.dests.iter().filter(|_| self.looks_up).filter(idle);
+        let mut idle: Vec<(Ns, DestId)> = idle.map(|(&id, dest)| (dest.used_at, id)).collect();
+        idle.sort_unstable();
+        let old = idle.partition_point(|&(used_at, _)| self.now - used_at >= IDLE_FOR);
+        idle.truncate(old.max(idle.len().saturating_sub(MOST_IDLE)));
+        idle.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Whether what is known of a destination still holds calls to it back. An ordering key's rest is kept by
+    /// the key, and a repeat window with its message.
+    fn restrains(&self, id: DestId, dest: &Dest) -> bool {
+        let (now, cold) = (self.now, self.cfg.cold);
+        let cold = |since: Ns| now - since <= cold;
+        let waits = |r: &Route| r.wait_until.max(r.not_before) > now;
+        let route = |r: &Route| r.doubt || waits(r) || (r.cold && cold(r.back_at));
+        let place = |e: &EndpointId| {
+            let returns = |p: &Endpoint| p.in_flight > 0 || p.back_at.is_some_and(cold);
+            self.maint.contains(e) || self.endpoints.get(e).is_some_and(returns)
+        };
+        let mut routes = self.routes.range((id, 0)..=(id, EndpointId::MAX));
+        routes.any(|(_, r)| route(r)) || dest.places.iter().any(place)
+    }
+
+    /// Entries that the caller has found for a message.
+    pub(super) fn look_up(&mut self, entries: &[Entry]) {
+        self.looks_up = true;
+        self.take_in(entries, self.first_list_at.unwrap_or(self.now));
     }
 
     /// Follows the list. Draining and gone endpoints are unusable before anything of the batch is sent.
     pub(super) fn list(&mut self, whole: bool, entries: &[Entry]) {
-        let since = *self.first_list_at.get_or_insert(self.now);
+        self.first_list_at.get_or_insert(self.now);
         if whole {
             self.endpoints.values_mut().for_each(|e| (e.listed, e.usable) = (false, false));
         }
+        self.take_in(entries, self.now);
+    }
+
+    /// Takes in what was listed at a time.
+    fn take_in(&mut self, entries: &[Entry], since: Ns) {
         for entry in entries {
             let (dest, kind, zone) = (entry.dest, entry.kind, entry.zone);
             let lot = lot(self.seed, entry.endpoint);
@@ -63,38 +104,13 @@
                 route.hint = if told { entry.hint.max(0.0) * trust } else { 0.0 };
             }
             let dest = self.dest(entry.dest);
-            if !dest.places.contains(&entry.endpoint) {
-                dest.places.push(entry.endpoint);
-                dest.places.sort_unstable();
+            if let Err(at) = dest.places.binary_search(&entry.endpoint) {
+                dest.places.insert(at, entry.endpoint);
             }
             self.due(entry.dest, LONG_AGO);
         }
     }
 
-    /// Whether it holds state for a destination: changes of the list that concern it have to be told.
-    pub fn knows(&self, destination: DestId) -> bool {
-        self.dests.contains_key(&destination)
-    }
-
-    pub fn knows_endpoint(&self, endpoint: EndpointId) -> bool {
-        self.endpoints.contains_key(&endpoint)
-    }
-
-    pub fn known_destinations(&self) -> impl Iterator<Item = DestId> + '_ {
-        self.dests.keys().copied()
-    }
-
-    pub fn known_endpoints(&self) -> impl Iterator<Item = EndpointId> + '_ {
-        self.endpoints.keys().copied()
-    }
-
-    /// An endpoint as the list has named it, where that was ready, without its hint.
-    pub(crate) fn ready_entry(&self, endpoint: EndpointId) -> Option<Entry> {
-        let known = self.endpoints.get(&endpoint).filter(|e| e.listed)?;
-        let (dest, kind, zone) = (known.dest, known.kind, known.zone);
-        Some(Entry { endpoint, dest, kind, zone, condition: Condition::Ready, hint: 0.0 })
-    }
-
     /// Takes an endpoint out or puts it back. Only one that was out has been restarted.
     pub(super) fn maint(&mut self, endpoint: EndpointId, out: bool, at: Ns) {
         let changed = if out { self.maint.insert(endpoint) } else { self.maint.remove(&endpoint) };
@@ -108,8 +124,8 @@
     }
 
     pub(super) fn dest(&mut self, id: DestId) -> &mut Dest {
-        let cap = top(&self.cfg);
-        self.dests.entry(id).or_insert_with(|| Dest { cap, ..Dest::default() })
+        let (cap, used_at) = (top(&self.cfg), self.now);
+        self.dests.entry(id).or_insert_with(|| Dest { cap, used_at, ..Dest::default() })
     }
 
     pub(super) fn route_of(&self, endpoint: EndpointId) -> RouteId {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -48,6 +48,11 @@
 /// What is gone from the list is remembered for so long after its last failure.
 const KEEP: Ns = 60 * SECOND;
 
+/// A destination that is not used for so long is forgotten, and so are the longest unused past so many. It
+/// begins anew then: its latencies have faded, and its share of a limit has mostly grown back.
+const IDLE_FOR: Ns = 60 * SECOND;
+const MOST_IDLE: usize = 2_048;
+
 /// For so long after a call got no connection its kind of endpoint is taken to be short of them.
 const SCARCE: Ns = 60 * SECOND;
 
@@ -177,11 +182,11 @@
     now: Ns,
     messages: BTreeMap<MsgId, Held>,
     open: usize,
-    endpoints: BTreeMap<EndpointId, Endpoint>,
+    pub(crate) endpoints: BTreeMap<EndpointId, Endpoint>,
     /// Endpoints that operators have taken out; also such as no list names.
     maint: BTreeSet<EndpointId>,
     routes: BTreeMap<RouteId, Route>,
-    dests: BTreeMap<DestId, Dest>,
+    pub(crate) dests: BTreeMap<DestId, Dest>,
     calls: BTreeMap<u64, Call>,
     next_call: u64,
     keys: BTreeMap<u64, KeyTurn>,
@@ -193,8 +198,12 @@
     /// Endpoints whose calls ended in this batch, and when each kind last took no connection.
     ended: Vec<EndpointId>,
     scarce_at: BTreeMap<usize, Ns>,
-    /// State that is made later is made as if it had been then, as what needs none has none.
+    /// What is looked up later begins as if it had been listed then.
     first_list_at: Option<Ns>,
+    /// Its caller looks up what messages need, so that what nothing depends on can be forgotten.
+    looks_up: bool,
+    /// Destinations left when that was last done.
+    remembered: usize,
     next_end: Ns,
     forgot_at: Ns,
     decided_at: Ns,
@@ -246,6 +255,7 @@
         for event in events {
             match event {
                 Event::List { whole, entries } => self.list(*whole, entries),
+                Event::LookedUp { entries } => self.look_up(entries),
                 Event::Message(m) => self.take(*m),
                 Event::Maint { endpoint, out, at } => self.maint(*endpoint, *out, *at),
                 Event::Resumed { message, past } => self.resume(*message, past, out),
@@ -312,12 +322,13 @@
         self.active.retain(|id| {
             let Some(dest) = dests.get_mut(id) else { return false };
             choose_cap(&self.cfg, dest, now);
+            dest.used_at = now;
             dest.in_flight > 0 || !dest.held.is_empty()
         });
         for id in self.active.clone() {
             self.due(id, LONG_AGO);
         }
-        if now - self.forgot_at >= 10 * SECOND {
+        if now - self.forgot_at >= 10 * SECOND || self.dests.len() > self.remembered + MOST_IDLE {
             self.forget();
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -128,6 +128,8 @@
     pub in_flight: usize,
     pub held: Vec<MsgId>,
     pub places: Vec<EndpointId>,
+    /// When work was last out or held for it, as the periodic part has seen it.
+    pub used_at: Ns,
     /// When it is looked at next, by `Sender::agenda`.
     pub look_at: Ns,
     /// Latency by class and level, arrivals by class, and latency of all calls.
--- a/src/stored.rs
+++ b/src/stored.rs
@@ -13,6 +13,7 @@
     in_flight: usize,
     held: Vec<MsgId>,
     places: Vec<EndpointId>,
+    used_at: Ns,
     look_at: Ns,
     cells: StoredStats<(usize, usize)>,
     arrivals: StoredStats<usize>,
@@ -49,7 +50,8 @@
 
 impl From<StoredDest> for Dest {
     fn from(stored: StoredDest) -> Dest {
-        let StoredDest { cap, in_flight, held, places, look_at, cells, arrivals, latency, served } = stored;
+        let StoredDest { cap, in_flight, held, places, used_at, look_at, cells, arrivals, latency, served } =
+            stored;
         // A table has as many levels for each class, and the arrivals' table has one entry for each class.
         let levels = match (&cells, &arrivals) {
             (StoredStats::Table(cells), StoredStats::Table(arrivals)) => cells.len() / arrivals.len().max(1),
@@ -57,6 +59,6 @@
         };
         let cells = cells.by_key(|place| (place / levels.max(1), place % levels.max(1)));
         let arrivals = arrivals.by_key(|class| class);
-        Dest { cap, in_flight, held, places, look_at, cells, arrivals, latency, served }
+        Dest { cap, in_flight, held, places, used_at, look_at, cells, arrivals, latency, served }
     }
 }
