--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -24,6 +24,8 @@
 /// Half-life of what is measured, and the weight under which a cell counts as unmeasured again.
 pub(crate) const HALF_LIFE: f64 = 3e9;
 const MEASURED: f64 = 0.15;
+/// Weight under which it is dropped: whatever is measured next outweighs it by far.
+const FADED: f64 = 1e-6;
 /// Share of the slots that calls to all routes in doubt may hold together.
 const DOUBT_SLOTS: f64 = 0.25;
 /// Failures without a success between, or share of failures (aged), that put a route in doubt.
@@ -46,6 +48,11 @@
 /// What is gone from the list is remembered for so long after its last failure.
 const KEEP: Ns = 60 * SECOND;
 
+/// A destination that is not used for so long is forgotten, and so are the longest unused past so many. It
+/// begins anew then: its latencies have faded, and its share of a limit has mostly grown back.
+const IDLE_FOR: Ns = 60 * SECOND;
+const MOST_IDLE: usize = 2_048;
+
 /// For so long after a call got no connection its kind of endpoint is taken to be short of them.
 const SCARCE: Ns = 60 * SECOND;
 
@@ -170,15 +177,16 @@
 pub struct Sender {
     #[serde(skip)]
     cfg: Settings,
+    seed: u64,
     random: u64,
     now: Ns,
     messages: BTreeMap<MsgId, Held>,
     open: usize,
-    endpoints: BTreeMap<EndpointId, Endpoint>,
+    pub(crate) endpoints: BTreeMap<EndpointId, Endpoint>,
     /// Endpoints that operators have taken out; also such as no list names.
     maint: BTreeSet<EndpointId>,
     routes: BTreeMap<RouteId, Route>,
-    dests: BTreeMap<DestId, Dest>,
+    pub(crate) dests: BTreeMap<DestId, Dest>,
     calls: BTreeMap<u64, Call>,
     next_call: u64,
     keys: BTreeMap<u64, KeyTurn>,
@@ -190,6 +198,12 @@
     /// Endpoints whose calls ended in this batch, and when each kind last took no connection.
     ended: Vec<EndpointId>,
     scarce_at: BTreeMap<usize, Ns>,
+    /// What is looked up later begins as if it had been listed then.
+    first_list_at: Option<Ns>,
+    /// Its caller looks up what messages need, so that what nothing depends on can be forgotten.
+    looks_up: bool,
+    /// Destinations left when that was last done.
+    remembered: usize,
     next_end: Ns,
     forgot_at: Ns,
     decided_at: Ns,
@@ -198,13 +212,15 @@
 
 impl Sender {
     pub fn new(cfg: Settings, seed: u64) -> Sender {
-        Sender { cfg, random: seed, next_end: Ns::MAX, decided_at: LONG_AGO, ..Sender::default() }
+        Sender { cfg, seed, random: seed, next_end: Ns::MAX, decided_at: LONG_AGO, ..Sender::default() }
     }
 
     /// Goes on with what another process decided under the same settings; the clock must go on too. No timer
     /// is asked for any more.
     pub fn taken_over(self, cfg: Settings) -> Sender {
-        Sender { cfg, timer_at: None, ..self }
+        // Versions before this one did not keep their seed.
+        let seed = if self.seed == 0 { self.random } else { self.seed };
+        Sender { cfg, seed, timer_at: None, ..self }
     }
 
     /// What it has learned, without the messages and calls of this process.
@@ -219,7 +235,7 @@
     /// its connections are gone, and a told wait ends with a restart. A cold return under way goes on.
     pub fn restarted(self, cfg: Settings, seed: u64) -> Sender {
         let mut new =
-            Sender { cfg, random: seed, timer_at: None, next_end: Ns::MAX, open: 0, trials: 0, ..self };
+            Sender { cfg, seed, random: seed, timer_at: None, next_end: Ns::MAX, open: 0, trials: 0, ..self };
         new.endpoints.values_mut().for_each(|e| (e.in_flight, e.warm) = (0, 0));
         for route in new.routes.values_mut() {
             (route.in_flight, route.wait_until) = (0, LONG_AGO);
@@ -239,6 +255,7 @@
         for event in events {
             match event {
                 Event::List { whole, entries } => self.list(*whole, entries),
+                Event::LookedUp { entries } => self.look_up(entries),
                 Event::Message(m) => self.take(*m),
                 Event::Maint { endpoint, out, at } => self.maint(*endpoint, *out, *at),
                 Event::Resumed { message, past } => self.resume(*message, past, out),
@@ -305,12 +322,13 @@
         self.active.retain(|id| {
             let Some(dest) = dests.get_mut(id) else { return false };
             choose_cap(&self.cfg, dest, now);
+            dest.used_at = now;
             dest.in_flight > 0 || !dest.held.is_empty()
         });
         for id in self.active.clone() {
             self.due(id, LONG_AGO);
         }
-        if now - self.forgot_at >= 10 * SECOND {
+        if now - self.forgot_at >= 10 * SECOND || self.dests.len() > self.remembered + MOST_IDLE {
             self.forget();
         }
     }
@@ -355,7 +373,7 @@
         }
         self.messages.insert(message.id, held);
         self.open += 1;
-        self.dest(message.dest).arrivals[message.class].book(now, 1.0);
+        self.dest(message.dest).arrivals.book(message.class, now, 1.0);
         self.hold(message.id);
     }
 
@@ -411,8 +429,7 @@
                     | Outcome::Crowded
                     | Outcome::Malformed
             ) {
-                let cells = dest.cells.len() / self.cfg.classes.len();
-                dest.cells[message.class * cells + level].book(now, took as f64);
+                dest.cells.book((message.class, level), now, took as f64);
             }
             if e.outcome == Outcome::Served {
                 dest.served.book(now, 1.0);
