--- a/src/bin/sender/first_catalogue.rs
+++ b/src/bin/sender/first_catalogue.rs
@@ -67,12 +67,13 @@
     next_id: EndpointId,
     known: Catalogue,
 ) -> Catalogue {
-    let listed = |name| known.id(name).and_then(|id| known.get(id));
-    let entries = numbers.filter_map(|(number, name)| Some((number, listed(name)?)));
-    let mut catalogue = Catalogue::numbered(entries, next_id);
     if next_id == 0 {
+        // None were ever given.
         return known;
     }
+    let listed = |name| known.id(name).and_then(|id| known.get(id));
+    let entries = numbers.filter_map(|(number, name)| Some((number, listed(name)?)));
+    let mut catalogue = Catalogue::numbered(entries, next_id);
     catalogue.add_missing(&known);
     catalogue
 }
