Test the sender on lists that are large, too large, broken off and odd

Lists of more than 4 MiB, lists over their bounds and what crosses the intake of a long list had no test over sockets: every stand-in of discovery sends its few entries in one write.

Counts, order and outcomes are asserted; what is in time is measured by the sender's processor time, as a busy machine stretches the clock.

--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -358,6 +358,13 @@
 
     /// Starts a sender and does not wait until it is ready.
     pub fn started(discovery: &Discovery, known: Value, change: impl Fn(&mut Value)) -> Node {
+        let mut node = Node::prepare(discovery.peer.address, known, change);
+        node.launch();
+        node
+    }
+
+    /// One that does not run yet.
+    pub fn prepare(discovery: SocketAddr, known: Value, change: impl Fn(&mut Value)) -> Node {
         let number = FOLDERS.fetch_add(1, Ordering::SeqCst);
         let folder =
             Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("node-{}-{number}", std::process::id()));
@@ -381,10 +388,8 @@
                     "OverloadForNs": 2_000_000_000},
                 "Services": [class("alert", "keyed"), class("order", "unsafe")]}});
         change(&mut config);
-        let mut node =
-            Node { folder, address, control: None, discovery: discovery.peer.address, child: None, config };
+        let mut node = Node { folder, address, control: None, discovery, child: None, config };
         node.control = node.config["control"].as_str().map(|at| at.parse().unwrap());
-        node.child = Some(node.spawn());
         node
     }
 
@@ -430,16 +435,20 @@
         (status, self.log())
     }
 
-    pub fn restart(&mut self) {
+    /// Starts the process, and waits for nothing.
+    pub fn launch(&mut self) {
         assert!(self.child.is_none(), "still running");
         self.child = Some(self.spawn());
+    }
+
+    pub fn restart(&mut self) {
+        self.launch();
         self.until_ready();
     }
 
     /// What it answers of its health; None where nobody listens yet.
     pub fn health(&self) -> Option<u16> {
-        let answer = self.ask(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")?;
-        answer.first.split(' ').nth(1)?.parse().ok()
+        call_at(self.address, "GET /healthz")
     }
 
     pub fn until_ready(&self) {
@@ -569,6 +578,31 @@
         std::fs::read_dir(format!("/proc/{id}/fd")).unwrap().count()
     }
 
+    /// Processor time that the process has used, its threads that have ended included, in steps of 10 ms.
+    pub fn processor_time(&self) -> Duration {
+        const TICK: Duration = Duration::from_millis(10);
+        let id = self.child.as_ref().unwrap().id();
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap();
+        // The name, in brackets, may hold anything; the times are the 12th and 13th after it.
+        let (_, fields) = stat.rsplit_once(')').unwrap();
+        let ticks = fields.split_whitespace().skip(11).take(2).map(|f| f.parse::<u32>().unwrap());
+        TICK * ticks.sum::<u32>()
+    }
+
+    /// Threads that the process has.
+    pub fn threads(&self) -> usize {
+        let id = self.child.as_ref().unwrap().id();
+        std::fs::read_dir(format!("/proc/{id}/task")).unwrap().count()
+    }
+
+    /// The most memory that the process has held, in kB.
+    pub fn peak_resident_kb(&self) -> usize {
+        let id = self.child.as_ref().unwrap().id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("its memory");
+        line.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     /// Waits until something is so.
     pub fn until(&self, what: &str, so: impl Fn() -> bool) {
         let until = Instant::now() + BOUND;
