Test names that move, many destinations, learned state, a failed upgrade on large lists

With state on demand a list reaches the module only as far as it holds state: what it must be told of (names that come back under another destination or address, 300 destinations with work under a whole replacement) and what it must not keep or pass on (learned state in proportion to the list) had no test over sockets, nor had a new process that dies with a large list handed over.

--- a/tests/large_lists.rs
+++ b/tests/large_lists.rs
@@ -792,6 +792,96 @@
     assert_eq!((waits.seen().len(), trap.seen().len()), (calls, 0));
 }
 
+#[test]
+fn names_that_move_to_other_destinations_are_called_for_those_alone() {
+    let mut random = seeded("names that move");
+    let (one, other, third, fourth, trap) =
+        (Peer::new(|_| ok()), Peer::new(|_| ok()), Peer::new(|_| ok()), Peer::new(|_| ok()), trap());
+    let listed = |a: (&Peer, u64), b: (&Peer, u64), c: (&Peer, u64)| {
+        [("a", a), ("b", b), ("c", c)]
+            .map(|(name, (peer, destination))| ready(name, peer.address, destination))
+    };
+    let first = large(&mut random, &trap, &listed((&one, 7), (&other, 8), (&third, 9)));
+    let second = large(&mut random, &trap, &listed((&one, 8), (&fourth, 9), (&third, 7)));
+    let discovery = LargeDiscovery::new(5, body(5, &first));
+    let node = started(&discovery, &[], |_| {});
+    discovery.wait_watch(5);
+    for (peer, destination) in [(&one, 7), (&other, 8), (&third, 9)] {
+        delivered(&node, peer, &format!("first-{destination}"), destination);
+    }
+    discovery.replace(6, body(6, &second));
+    discovery.wait_watch(6);
+    for (peer, destination) in [(&third, 7), (&one, 8), (&fourth, 9)] {
+        delivered(&node, peer, &format!("second-{destination}"), destination);
+    }
+    // The same by a change, for destinations of which one is left without an endpoint.
+    let generation = discovery.change(vec![ready("a", fourth.address, 10), ready("b", fourth.address, 11)]);
+    discovery.wait_watch(generation);
+    delivered(&node, &third, "third-7", 7);
+    not_served(&node, &discovery, "third-8", 8);
+    not_served(&node, &discovery, "third-9", 9);
+    delivered(&node, &fourth, "third-10", 10);
+    delivered(&node, &fourth, "third-11", 11);
+    let counts = [&one, &other, &third, &fourth, &trap].map(|peer| once(peer).len());
+    assert_eq!(counts, [2, 1, 3, 3, 0]);
+}
+
+#[test]
+fn all_destinations_with_work_are_told_of_a_whole_replacement() {
+    const ACTIVE: u64 = 300;
+    let mut random = seeded("many active");
+    let (old, new, trap) = (Peer::new(|_| ok()), Peer::new(|_| ok()), trap());
+    let listed = |random: &mut fastrand::Rng, generation: u64, peer: &Peer| {
+        let used: Vec<Value> = (0..ACTIVE).map(|d| ready(&format!("e-{d}"), peer.address, d)).collect();
+        body(generation, &large(random, &trap, &used))
+    };
+    let discovery = LargeDiscovery::new(5, listed(&mut random, 5, &old));
+    let node = started(&discovery, &[], many_messages);
+    discovery.wait_watch(5);
+    let to_each = |peer: &Peer, round: &str| {
+        (0..ACTIVE).for_each(|d| taken_on(&node, &format!("{round}-{d}"), d, LONG_MS));
+        node.until("each is delivered", || peer.seen().len() as u64 >= ACTIVE);
+        assert_eq!(once(peer).len() as u64, ACTIVE);
+    };
+    to_each(&old, "before");
+    discovery.replace(6, listed(&mut random, 6, &new));
+    discovery.wait_watch(6);
+    to_each(&new, "after");
+    assert_eq!((old.seen().len() as u64, trap.seen().len()), (ACTIVE, 0));
+}
+
+#[test]
+fn what_was_learned_of_a_large_list_is_that_of_destinations_with_work() {
+    let mut random = seeded("learned");
+    let (one, other, third, trap) = (Peer::new(|_| ok()), Peer::new(|_| ok()), Peer::new(|_| ok()), trap());
+    let used = [ready("e-1", one.address, 7), ready("e-2", other.address, 8), ready("e-3", third.address, 9)];
+    let mut entries = large(&mut random, &trap, &used);
+    let discovery = LargeDiscovery::new(5, body(5, &entries));
+    let mut node = started(&discovery, &[], |c| c["store"] = json!({"learned_s": 1}));
+    discovery.wait_watch(5);
+    delivered(&node, &one, "one", 7);
+    delivered(&node, &other, "other", 8);
+    settled(&node, &one, 7);
+    let learned = node.state().join("learned");
+    let written = || std::fs::metadata(&learned).and_then(|m| m.modified()).ok();
+    let before = written();
+    node.until("a snapshot since", || written() > before);
+    let size = std::fs::metadata(&learned).unwrap().len();
+    assert!(size < 100_000, "{size} bytes for two destinations of {LARGE}");
+    node.kill();
+    // Another order gives other numbers.
+    random.shuffle(&mut entries);
+    discovery.replace(6, body(6, &entries));
+    node.restart();
+    assert!(node.log().contains("going on with what was learned before"), "{}", node.log());
+    discovery.wait_watch(6);
+    delivered(&node, &other, "other again", 8);
+    delivered(&node, &third, "not learned of", 9);
+    delivered(&node, &one, "one again", 7);
+    let counts = [&one, &other, &third, &trap].map(|peer| once(peer).len());
+    assert_eq!(counts, [2, 2, 1, 0]);
+}
+
 /// Hands in messages until it is told to end; which ones were taken on.
 fn traffic(node: &Node, client: usize, destination: u64, end: &AtomicBool) -> Vec<String> {
     let mut ids = Vec::new();
@@ -1144,3 +1234,20 @@
         taken_on(&up.node, "not active", 3, LONG_MS);
     });
 }
+
+#[test]
+fn where_the_new_process_dies_the_old_one_serves_all_of_a_large_list_again() {
+    let mut up = Upgraded::new("upgrade, the new one dies");
+    let old = up.node.upgrade();
+    delivered(&up.node, &up.quick, "active", 2);
+    settled(&up.node, &up.quick, 2);
+    up.node.kill();
+    up.node.is_again(&old);
+    up.node.until("the old one is ready", || up.node.health() == Some(200));
+    delivered(&up.node, &up.quick, "not active", 3);
+    not_served(&up.node, &up.discovery, "taken out", 5);
+    let generation = up.discovery.change(vec![ready("e-9", up.quick.address, 9)]);
+    up.discovery.wait_watch(generation);
+    up.quick.wait_for("held", 1);
+    assert!(up.trap.seen().is_empty(), "{:?}", up.trap.seen());
+}
