Test a change that moves names to destinations with work and away from them

The case of names that move had whole lists for it, and of changes only one to destinations without work.

--- a/tests/large_lists.rs
+++ b/tests/large_lists.rs
@@ -824,6 +824,16 @@
     delivered(&node, &fourth, "third-11", 11);
     let counts = [&one, &other, &third, &fourth, &trap].map(|peer| once(peer).len());
     assert_eq!(counts, [2, 1, 3, 3, 0]);
+    // To a destination that has work and others, and away from one that has none besides.
+    let generation = discovery.change(vec![ready("b", one.address, 7), ready("c", one.address, 10)]);
+    discovery.wait_watch(generation);
+    delivered(&node, &one, "fourth-7", 7);
+    not_served(&node, &discovery, "fourth-11", 11);
+    for i in 0..8 {
+        taken_on(&node, &format!("fourth-10-{i}"), 10, LONG_MS);
+    }
+    node.until("all are delivered", || one.seen().len() + fourth.seen().len() >= 3 + 3 + 8);
+    assert_eq!([&other, &third, &trap].map(|peer| once(peer).len()), [1, 3, 0]);
 }
 
 #[test]
