Test random histories of lists, and let the stand-in answer whole lists as they are

Each case before has one crossing. A history draws 12 rounds of whole lists, long and short, and of changes, with answers broken off or slow before them, SIGKILL, SIGHUP, upgrades and operators' calls between them; after each round every destination has to be served by its ready endpoints alone, or its message handed back.

--- a/tests/large_lists.rs
+++ b/tests/large_lists.rs
@@ -1,12 +1,13 @@
 //! The real sender with lists of destinations that are large, too large, broken off or odd. Whatever crosses the
-//! intake of a list is forced by a stand-in that holds the list in its middle. Seeds are printed; `SEED=n` replays one.
+//! intake of a list is forced by a stand-in that holds the list in its middle. Seeds are printed; `SEED=n` replays one,
+//! and `ROUNDS=n` makes the random history longer.
 #[path = "peers/large_discovery.rs"]
 mod large_discovery;
 mod peers;
 use large_discovery::*;
 use peers::*;
 use serde_json::{json, Value};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -892,6 +893,187 @@
     assert_eq!(counts, [2, 2, 1, 0]);
 }
 
+/// What discovery lists of the names that a random history is about: destination, place of the peer, and whether it
+/// is ready.
+type Model = BTreeMap<String, (u64, usize, bool)>;
+
+/// A sender under a random history of its list, and what the list is by then.
+struct History {
+    random: fastrand::Rng,
+    node: Node,
+    discovery: LargeDiscovery,
+    peers: Vec<Peer>,
+    fillers: Vec<String>,
+    model: Model,
+    /// What operators have taken out.
+    out: BTreeSet<String>,
+    generation: u64,
+    told: Vec<String>,
+}
+
+impl History {
+    const NAMES: usize = 10;
+    const DESTINATIONS: u64 = 6;
+    const PEERS: usize = 4;
+
+    fn new(trap: &Peer) -> History {
+        let mut random = seeded("random history");
+        let fillers = fillers(&mut random, trap, 2_000);
+        let peers: Vec<Peer> = (0..Self::PEERS).map(|_| Peer::new(|_| ok())).collect();
+        let discovery = LargeDiscovery::new(1, body(1, &fillers));
+        let learns = random.bool();
+        let node = started(&discovery, &[], |config| {
+            many_messages(config);
+            with_control(config);
+            if learns {
+                config["store"] = json!({"learned_s": 1});
+            }
+        });
+        let (model, out, told) = (Model::new(), BTreeSet::new(), Vec::new());
+        History { random, node, discovery, peers, fillers, model, out, generation: 1, told }
+    }
+
+    fn entry(&self, name: &str) -> Value {
+        let &(destination, peer, is_ready) = &self.model[name];
+        let lifecycle = if is_ready { "Ready" } else { "Terminating" };
+        instance(name, self.peers[peer].address, destination, "plain", lifecycle)
+    }
+
+    /// Lists a name anew, or drops it; its entry in a list of changes.
+    fn change_name(&mut self) -> Value {
+        let name = format!("h-{}", self.random.usize(..Self::NAMES));
+        if self.random.u8(..4) == 0 {
+            self.model.remove(&name);
+            return instance(&name, self.peers[0].address, 0, "plain", "Gone");
+        }
+        let place = (self.random.u64(..Self::DESTINATIONS), self.random.usize(..Self::PEERS));
+        self.model.insert(name.clone(), (place.0, place.1, self.random.u8(..5) > 0));
+        self.entry(&name)
+    }
+
+    /// Lists that break off or come slowly, before the one that comes whole.
+    fn breaks(&mut self) {
+        self.discovery.deliver_whole();
+        for _ in 0..self.random.usize(..3) {
+            let then = match self.random.u8(..3) {
+                0 => Then::Close,
+                1 => Then::Reset,
+                _ => Then::Trickle { pauses: 5, each: Duration::from_millis(20) },
+            };
+            let framing = if self.random.bool() { Framing::Length } else { Framing::Chunked };
+            let delivery = Delivery::until(self.random.f64(), then).framed(framing);
+            self.discovery.deliver(delivery.clone());
+            self.discovery.deliver_change(delivery);
+        }
+    }
+
+    fn step(&mut self) {
+        self.breaks();
+        self.generation += 1;
+        if self.random.u8(..3) == 0 {
+            (0..self.random.usize(1..Self::NAMES)).for_each(|_| _ = self.change_name());
+            // Short lists are taken in another way than long ones.
+            let mut entries = if self.random.bool() { self.fillers.clone() } else { Vec::new() };
+            entries.extend(self.model.keys().map(|name| self.entry(name).to_string()));
+            self.random.shuffle(&mut entries);
+            self.discovery.replace(self.generation, body(self.generation, &entries));
+            self.told.push(format!("{} whole {:?}", self.generation, self.model));
+        } else {
+            let mut changes: Vec<Value> = (0..self.random.usize(1..5)).map(|_| self.change_name()).collect();
+            let named: Vec<&Value> = changes.iter().map(|entry| &entry["instanceId"]).collect();
+            self.told.push(format!("{} change of {named:?} to {:?}", self.generation, self.model));
+            if self.random.bool() {
+                // So that it is a long one. Nothing is sent to these.
+                changes.extend(self.fillers.iter().map(|entry| serde_json::from_str(entry).unwrap()));
+            }
+            self.generation = self.discovery.change(changes);
+        }
+        match self.random.u8(..10) {
+            0 => {
+                self.node.kill();
+                self.node.restart();
+                self.told.push("SIGKILL".into());
+            }
+            1 => {
+                self.node.hang_up();
+                self.told.push("SIGHUP".into());
+            }
+            2 => {
+                let mut old = self.node.upgrade();
+                assert!(old.finish().success(), "{}", self.node.log());
+                self.told.push("upgrade".into());
+            }
+            _ => {}
+        }
+    }
+
+    /// Operators take a name out that is listed, or put one back.
+    fn operate(&mut self) {
+        let all: Vec<&String> = self.model.keys().collect();
+        if all.is_empty() || self.random.u8(..4) > 0 {
+            return;
+        }
+        let name = all[self.random.usize(..all.len())].clone();
+        let change = if self.out.remove(&name) { "ready" } else { "maint" };
+        if change == "maint" {
+            self.out.insert(name.clone());
+        }
+        assert_eq!(self.node.call(&format!("PUT /endpoints/{name}/{change}")), 200);
+        self.told.push(format!("{name} {change}"));
+    }
+
+    /// Places of the peers that were sent a message.
+    fn called(&self, id: &str) -> BTreeSet<usize> {
+        let has = |peer: &Peer| peer.seen().iter().any(|r| r.id() == id);
+        (0..Self::PEERS).filter(|&peer| has(&self.peers[peer])).collect()
+    }
+
+    /// Every destination is served by its endpoints alone.
+    fn check(&mut self, round: usize) {
+        self.discovery.wait_watch(self.generation);
+        self.operate();
+        let mut unserved = None;
+        for destination in 0..Self::DESTINATIONS {
+            let of_it = self.model.iter().filter(|(name, (d, _, is_ready))| {
+                *d == destination && *is_ready && !self.out.contains(*name)
+            });
+            let expected: BTreeSet<usize> = of_it.map(|(_, (_, peer, _))| *peer).collect();
+            if expected.is_empty() {
+                unserved = Some(destination);
+                continue;
+            }
+            let id = format!("r{round}-{destination}");
+            taken_on(&self.node, &id, destination, LONG_MS);
+            self.node.until(&format!("{id} is delivered; {:?}", self.told), || !self.called(&id).is_empty());
+            let called = self.called(&id);
+            assert!(called.is_subset(&expected), "{id}: {called:?}, not {expected:?}; {:?}", self.told);
+        }
+        if let Some(destination) = unserved {
+            let id = format!("r{round}-{destination}");
+            taken_on(&self.node, &id, destination, 400);
+            let outcome = self.discovery.wait_notice(&id).1["outcome"].clone();
+            let called = self.called(&id);
+            assert!(
+                outcome == "handed_back" && called.is_empty(),
+                "{id}: {outcome}, {called:?}; {:?}",
+                self.told
+            );
+        }
+    }
+}
+
+#[test]
+fn after_a_random_history_of_lists_breaks_restarts_and_upgrades_what_was_told_last_is_in_force() {
+    let trap = trap();
+    let mut history = History::new(&trap);
+    let rounds = std::env::var("ROUNDS").ok().and_then(|r| r.parse().ok()).unwrap_or(12);
+    for round in 0..rounds {
+        history.step();
+        history.check(round);
+    }
+    assert!(trap.seen().is_empty(), "{:?}", trap.seen());
+}
+
 /// Hands in messages until it is told to end; which ones were taken on.
 fn traffic(node: &Node, client: usize, destination: u64, end: &AtomicBool) -> Vec<String> {
     let mut ids = Vec::new();
--- a/tests/peers/large_discovery.rs
+++ b/tests/peers/large_discovery.rs
@@ -2,7 +2,7 @@
 //! remembered with what it was answered.
 use super::peers::{read_message, Request, BOUND};
 use serde_json::Value;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -115,21 +115,26 @@
     }
 }
 
-/// The list as it stands: a whole one, and what changed since.
+/// The list as it stands, and how it came to be so.
 struct Listed {
-    generation: u64,
+    /// The version from which on the changes are known.
+    first: u64,
     body: Arc<Vec<u8>>,
     changes: Vec<(u64, Vec<Value>)>,
 }
 
 impl Listed {
+    fn new(generation: u64, body: Vec<u8>) -> Listed {
+        Listed { first: generation, body: Arc::new(body), changes: Vec::new() }
+    }
+
     fn latest(&self) -> u64 {
-        self.changes.last().map_or(self.generation, |(generation, _)| *generation)
+        self.changes.last().map_or(self.first, |(generation, _)| *generation)
     }
 
-    /// The changes since that version, if it is one of this list's.
+    /// The changes since that version, if they are known.
     fn since(&self, index: u64) -> Option<String> {
-        if index < self.generation {
+        if index < self.first {
             return None;
         }
         let news = self.changes.iter().filter(|(generation, _)| *generation > index);
@@ -137,6 +142,20 @@
         let entries = serde_json::to_string(&entries).unwrap();
         Some(format!(r#"{{"generation":{},"reset":false,"instances":{entries}}}"#, self.latest()))
     }
+
+    fn change(&mut self, entries: Vec<Value>) -> u64 {
+        let generation = self.latest() + 1;
+        let whole: Value = serde_json::from_slice(&self.body).unwrap();
+        let named = |entry: &Value| entry["instanceId"].as_str().unwrap_or_default().to_string();
+        let before = whole["instances"].as_array().unwrap().iter();
+        let mut all: BTreeMap<String, &Value> = before.map(|entry| (named(entry), entry)).collect();
+        all.extend(entries.iter().map(|entry| (named(entry), entry)));
+        let listed = all.values().filter(|entry| entry["lifecycle"] != "Gone");
+        let listed: Vec<String> = listed.map(|entry| entry.to_string()).collect();
+        self.body = Arc::new(body(generation, &listed));
+        self.changes.push((generation, entries));
+        generation
+    }
 }
 
 struct State {
@@ -162,7 +181,7 @@
     pub fn new(generation: u64, body: Vec<u8>) -> LargeDiscovery {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let listed = Listed { generation, body: Arc::new(body), changes: Vec::new() };
+        let listed = Listed::new(generation, body);
         let state = State {
             listed,
             deliveries: VecDeque::new(),
@@ -211,17 +230,13 @@
 
     /// Another whole list, which watches are told as well.
     pub fn replace(&self, generation: u64, body: Vec<u8>) {
-        let listed = Listed { generation, body: Arc::new(body), changes: Vec::new() };
+        let listed = Listed::new(generation, body);
         self.change_state(|s| s.listed = listed);
     }
 
-    /// A change on top of the list, told to watches. Whoever asks for the whole list gets it as it was, and then this.
+    /// A change on top of the list, told to watches.
     pub fn change(&self, entries: Vec<Value>) -> u64 {
-        self.change_state(|s| {
-            let generation = s.listed.latest() + 1;
-            s.listed.changes.push((generation, entries));
-            generation
-        })
+        self.change_state(|s| s.listed.change(entries))
     }
 
     pub fn asked(&self) -> Vec<Asked> {
