Pass a list of up to 10,000 endpoints on whole in an upgrade

Need: since the module holds state on demand, an upgrade passed on only the endpoints that it knew; while discovery was silent, a message for any other destination was held to its end (before the catalogue it was delivered at once). Change: a list of up to 10,000 endpoints passes on whole, with its generation, and is in force at once. A longer one passes on as far as the module knows it, and the rest comes with the known list or discovery's first answer: it would not fit a frame. Result: tests/upgrade.rs, an_upgrade_while_discovery_is_silent_..., waits in vain for 30 s without the change, passes with it.

--- a/src/bin/sender/core/tests.rs
+++ b/src/bin/sender/core/tests.rs
@@ -253,7 +253,7 @@
         settings: config.told.clone(),
         module: Sender::new(config.settings.clone(), 1),
         clock: (CLOCK_START, wall_ns()),
-        numbered: Numbered { endpoints: Vec::new(), next_id: 5, generation: Some(generation) },
+        numbered: Numbered { endpoints: Vec::new(), whole: false, next_id: 5, generation: Some(generation) },
         held: Unended::new(),
         calls: Vec::new(),
         next_id: 0,
--- a/src/bin/sender/first_catalogue.rs
+++ b/src/bin/sender/first_catalogue.rs
@@ -48,6 +48,10 @@
         let entries =
             numbered.endpoints.iter().map(|e| (e.number, completed(e.endpoint(), numbered, &known)));
         let handed = Catalogue::numbered(entries, numbered.next_id);
+        if numbered.whole && numbered.generation.is_some() {
+            let (generation, new_to_module) = (numbered.generation, false);
+            return FirstCatalogue { in_force: handed.clone(), watched: handed, generation, new_to_module };
+        }
         let mut all = handed.clone();
         all.add_missing(&known);
         let as_old = known.generation().is_some() && known.generation() == numbered.generation;
--- a/src/bin/sender/process_state.rs
+++ b/src/bin/sender/process_state.rs
@@ -32,10 +32,15 @@
     pub keeps: Keeps,
 }
 
-/// The endpoints that the module knows and the list names, under the module's numbers.
+/// A list of more endpoints does not pass on whole: it would hold both processes up, and not fit a frame.
+const MAX_WHOLE: usize = 10_000;
+
+/// Endpoints that the list names, under the module's numbers: all of them, or those that the module knows.
 #[derive(Serialize, Deserialize, Default)]
 pub struct Numbered {
     pub endpoints: Vec<NumberedEndpoint>,
+    /// They are all that the list names.
+    pub whole: bool,
     /// Above all numbers that were ever given.
     pub next_id: EndpointId,
     /// The generation of the list that they are from.
@@ -82,11 +87,15 @@
 }
 
 impl Numbered {
-    /// What a module knows of a list.
+    /// A list of moderate length, or else what a module knows of it.
     pub fn of(catalogue: &Catalogue, known: impl Iterator<Item = EndpointId>) -> Numbered {
-        let listed = known.filter_map(|id| Some(NumberedEndpoint::new(id, &catalogue.get(id)?)));
+        let whole = catalogue.len() <= MAX_WHOLE;
+        let numbers: Vec<EndpointId> = if whole { catalogue.ids().collect() } else { known.collect() };
+        let listed =
+            numbers.into_iter().filter_map(|id| Some(NumberedEndpoint::new(id, &catalogue.get(id)?)));
         Numbered {
             endpoints: listed.collect(),
+            whole,
             next_id: catalogue.next_id(),
             generation: catalogue.generation(),
         }
--- a/src/bin/sender/process_state_v1.rs
+++ b/src/bin/sender/process_state_v1.rs
@@ -52,8 +52,12 @@
             weight: 0.0,
         });
         let listed = listed.collect();
-        let numbered =
-            Numbered { endpoints: listed, next_id: endpoints.len() as EndpointId, generation: None };
+        let numbered = Numbered {
+            endpoints: listed,
+            whole: false,
+            next_id: endpoints.len() as EndpointId,
+            generation: None,
+        };
         State { settings, module, clock, numbered, held, calls, next_id, keeps: client.keeps }
     }
 }
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -220,3 +220,19 @@
     assert_eq!(node.hand_in("alert", "m", 7, 16_000, b"x"), 202);
     endpoint.wait_for("m", 1);
 }
+
+#[test]
+fn an_upgrade_while_discovery_is_silent_serves_destinations_without_work_as_before() {
+    let (one, other) = (Peer::new(|_| ok()), Peer::new(|_| ok()));
+    let discovery = Discovery::new(json!([ready("e-1", one.address, 7), ready("e-2", other.address, 8)]));
+    let mut node = with_control(&discovery);
+    assert_eq!(node.hand_in("alert", "before", 7, 16_000, b"x"), 202);
+    one.wait_for("before", 1);
+    discovery.silence();
+    let mut old = node.upgrade();
+    assert_eq!(node.hand_in("alert", "active", 7, 16_000, b"x"), 202);
+    assert_eq!(node.hand_in("alert", "without work", 8, 16_000, b"x"), 202);
+    one.wait_for("active", 1);
+    other.wait_for("without work", 1);
+    assert!(old.finish().success());
+}
