--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -573,7 +573,7 @@
                     route.share = route.share_before;
                 }
                 route.pause(now, route.refusals, jitter);
-                if route.inherited || route.told() <= 0.0 && route.refusals >= ILL {
+                if route.told() <= 0.0 && route.refusals >= ILL {
                     route.mark_cold(now);
                 }
                 // At the limit a refusal is the limit's. Shut: a long wait, plenty left, or refusals only.
