Test destinations past the bound on what the module remembers, over a whole replacement

5,000 destinations of 30,000 get a message each, more than twice the idle ones whose state is kept; 400 of them drawn get another one before and after a whole replacement.

--- a/tests/large_lists.rs
+++ b/tests/large_lists.rs
@@ -8,6 +8,8 @@
 use peers::*;
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -861,6 +863,53 @@
     assert_eq!((old.seen().len() as u64, trap.seen().len()), (ACTIVE, 0));
 }
 
+/// Hands in one message for each destination, all over one connection.
+fn one_to_each(node: &Node, round: &str, destinations: impl Iterator<Item = u64>) {
+    let mut stream = TcpStream::connect(node.address).unwrap();
+    stream.set_read_timeout(Some(BOUND)).unwrap();
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    for destination in destinations {
+        let id = format!("{round}-{destination}");
+        stream.write_all(&message("order", &id, destination, LONG_MS, b"x")).unwrap();
+        let answer = read_message(&mut reader, 0).unwrap_or_else(|| panic!("{id}: {}", node.log()));
+        assert!(answer.first.contains(" 202 "), "{id}: {}", answer.first);
+    }
+}
+
+#[test]
+fn destinations_whose_state_was_dropped_are_served_again_by_the_list_in_force() {
+    // More than state is kept for where nothing is left to do.
+    const USED: u64 = 5_000;
+    const AGAIN: usize = 400;
+    let mut random = seeded("state dropped");
+    let (old, new) = (Peer::new(|_| ok()), Peer::new(|_| ok()));
+    let listed = |generation: u64, peer: &Peer| {
+        let entry = |d: usize| ready(&format!("e-{d}"), peer.address, d as u64).to_string();
+        body(generation, &(0..LARGE).map(entry).collect::<Vec<_>>())
+    };
+    let discovery = LargeDiscovery::new(5, listed(5, &old));
+    let node = started(&discovery, &[], many_messages);
+    discovery.wait_watch(5);
+    std::thread::scope(|scope| {
+        for part in 0..4 {
+            let node = &node;
+            scope.spawn(move || one_to_each(node, "first", (part..USED).step_by(4)));
+        }
+    });
+    old.wait("one to each", |seen| seen.len() as u64 >= USED);
+    let mut again: Vec<u64> = (0..USED).collect();
+    random.shuffle(&mut again);
+    again.truncate(AGAIN);
+    one_to_each(&node, "again", again.iter().copied());
+    old.wait("one more to some", |seen| seen.len() >= USED as usize + AGAIN);
+    discovery.replace(6, listed(6, &new));
+    discovery.wait_watch(6);
+    one_to_each(&node, "replaced", again.iter().copied());
+    new.wait("one of the new list to the same", |seen| seen.len() >= AGAIN);
+    assert_eq!((once(&old).len(), once(&new).len()), (USED as usize + AGAIN, AGAIN));
+    assert!(discovery.notices().is_empty(), "{:?}", discovery.notices());
+}
+
 #[test]
 fn what_was_learned_of_a_large_list_is_that_of_destinations_with_work() {
     let mut random = seeded("learned");
