--- a/tests/large_lists.rs
+++ b/tests/large_lists.rs
@@ -1492,3 +1492,16 @@
     up.quick.wait_for("held", 1);
     assert!(up.trap.seen().is_empty(), "{:?}", up.trap.seen());
 }
+
+#[test]
+fn an_upgrade_while_discovery_is_silent_serves_destinations_without_work_as_before() {
+    let (one, other) = (Peer::new(|_| ok()), Peer::new(|_| ok()));
+    let discovery = Discovery::new(json!([ready("e-1", one.address, 7), ready("e-2", other.address, 8)]));
+    let mut node = Node::with(&discovery, json!([]), with_control);
+    delivered(&node, &one, "before", 7);
+    discovery.silence();
+    let mut old = node.upgrade();
+    delivered(&node, &one, "active", 7);
+    delivered(&node, &other, "not active", 8);
+    assert!(old.finish().success());
+}
