--- a/src/bin/sender/core.rs
+++ b/src/bin/sender/core.rs
@@ -546,10 +546,18 @@
                         self.next.push(Event::AttemptEnd(end));
                         continue;
                     };
+                    let (taken, end) = (held.taken.clone(), held.end);
+                    tracing::debug!(
+                        id,
+                        attempt,
+                        endpoint,
+                        name,
+                        dest = taken.dest,
+                        limit = limit / MS,
+                        "send"
+                    );
                     let record = Begun { number: attempt, at: wall, endpoint: name, never_ran: false };
                     begun.push(Record::Begun(id, record));
-                    let (taken, end) = (held.taken.clone(), held.end);
-                    tracing::debug!(id, attempt, endpoint, dest = taken.dest, limit = limit / MS, "send");
                     let limit = if limit > 0 { (now + limit).min(end) } else { end };
                     let (end, limit, by) = (self.instant(end), self.instant(limit), self.instant(by));
                     let member = Member { attempt, taken, end, limit, by };
