Scale tests: one sender, a hollow fleet and the module at up to 350,000 destinations

Change: `scale` in the testbed. Core: a deployment of any size from a seed with its list as a stream, a change log that tells a watch of any version just the changes since, Zipf and uniform traffic, the decision module alone, straight lines by least squares. Drivers: a list service for thousands of watches whose regions can be cut off, clients and endpoints of one sender, a sender as a child process seen from outside, hollow senders with real watches, intake and module. Examples `scale_sender`, `scale_fleet` and `scale_backlog` (each `--small` or `--full`, JSON out) and `scale_tables`, which prints the tables of the capacity page from their files.

--- /dev/null
+++ b/crates/testbed/examples/scale_tables.rs
@@ -0,0 +1,326 @@
+//! The tables of `docs/CAPACITY.md`, from what the scale tests gave.
+//!
+//!     cargo run --release -p testbed --example scale_tables -- sender FILE... | module FILE... | fleet FILE... | active
+//!
+//! Several files are told apart by their names; the first is usually the state before a change.
+use serde_json::Value;
+use std::error::Error;
+use std::path::{Path, PathBuf};
+use testbed::scale::traffic::{expected_destinations, Skew};
+
+/// Messages a second that a sender of the fleet takes, and destinations, at the size that is planned for.
+const RATE: f64 = 106.0;
+const DESTINATIONS: u32 = 350_000;
+const MB: f64 = 1e6;
+
+struct Source {
+    name: String,
+    value: Value,
+}
+
+fn read(path: &Path) -> Result<Source, Box<dyn Error>> {
+    let name = path.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+    Ok(Source { name, value: serde_json::from_slice(&std::fs::read(path)?)? })
+}
+
+/// A number of a JSON value, by the names that lead there; none where it is missing.
+fn number(value: &Value, path: &str) -> f64 {
+    value.pointer(path).and_then(Value::as_f64).unwrap_or(f64::NAN)
+}
+
+/// As few digits as say something.
+fn short(number: f64) -> String {
+    match number.abs() {
+        _ if number.is_nan() => "-".into(),
+        whole if whole == whole.trunc() && whole < 1e15 => thousands(number as i64),
+        100.0..1e15 => thousands(number.round() as i64),
+        10.0.. => format!("{number:.1}"),
+        0.01.. => format!("{number:.2}"),
+        _ => format!("{number:.2e}"),
+    }
+}
+
+fn thousands(number: i64) -> String {
+    let digits = number.abs().to_string();
+    let groups: Vec<&str> =
+        digits.as_bytes().rchunks(3).rev().map(|g| std::str::from_utf8(g).unwrap_or("")).collect();
+    format!("{}{}", if number < 0 { "-" } else { "" }, groups.join(","))
+}
+
+fn heads(names: &[&str]) {
+    println!("\n| {} |", names.join(" | "));
+    println!("|{}", " --- |".repeat(names.len()));
+}
+
+fn row(cells: &[String]) {
+    println!("| {} |", cells.join(" | "));
+}
+
+fn rows<'a>(source: &'a Source, list: &str) -> &'a [Value] {
+    source.value.get(list).and_then(Value::as_array).map_or(&[], Vec::as_slice)
+}
+
+fn share(part: f64, whole: f64) -> String {
+    format!("{:.1}%", 100.0 * part / whole)
+}
+
+fn sender(sources: &[Source]) {
+    heads(&[
+        "run",
+        "destinations",
+        "ready",
+        "lists fetched",
+        "bytes",
+        "idle, MB",
+        "most, MB",
+        "idle loop",
+        "a change",
+    ]);
+    for (source, one) in sources.iter().flat_map(|s| rows(s, "rows").iter().map(move |r| (s, r))) {
+        row(&[
+            source.name.clone(),
+            short(number(one, "/destinations")),
+            format!("{} ms", short(number(one, "/ready_ms"))),
+            short(number(one, "/fetched/whole_lists")),
+            short(number(one, "/fetched/bytes")),
+            short(number(one, "/idle_memory") / MB),
+            short(number(one, "/most_memory") / MB),
+            format!("{:.2}%", 100.0 * number(one, "/idle_processor_share")),
+            format!("{} us", short(number(one, "/change_processor_us"))),
+        ]);
+    }
+    heads(&[
+        "run",
+        "destinations",
+        "traffic",
+        "a second",
+        "taken on",
+        "delivered",
+        "connections by call",
+        "used",
+        "MB",
+        "processor",
+        "healthz p99, ms",
+        "longest, ms",
+    ]);
+    for (source, one) in sources.iter().flat_map(|s| rows(s, "rows").iter().map(move |r| (s, r))) {
+        for traffic in one["traffic"].as_array().into_iter().flatten() {
+            let outcome = &traffic["outcome"];
+            row(&[
+                source.name.clone(),
+                short(number(one, "/destinations")),
+                outcome["skew"].as_str().unwrap_or_default().into(),
+                short(number(outcome, "/per_second")),
+                share(number(outcome, "/taken_on"), number(outcome, "/handed_in")),
+                share(number(outcome, "/delivered"), number(outcome, "/taken_on_for_live")),
+                short(number(traffic, "/connections_by_call")),
+                short(number(outcome, "/destinations_used")),
+                short(number(traffic, "/memory") / MB),
+                format!("{:.1}%", 100.0 * number(traffic, "/processor_share")),
+                short(number(traffic, "/holds/p99_ms")),
+                short(number(traffic, "/holds/longest_ms")),
+            ]);
+        }
+    }
+    heads(&[
+        "run",
+        "destinations",
+        "all entries new: lists fetched",
+        "bytes",
+        "healthz p99, ms",
+        "longest, ms",
+        "message's longest answer, ms",
+        "taken on",
+        "delivered",
+        "most, MB",
+    ]);
+    for (source, one) in sources.iter().flat_map(|s| rows(s, "rows").iter().map(move |r| (s, r))) {
+        let new = &one["replacement"];
+        row(&[
+            source.name.clone(),
+            short(number(one, "/destinations")),
+            short(number(new, "/fetched/whole_lists")),
+            short(number(new, "/fetched/bytes")),
+            short(number(new, "/holds/p99_ms")),
+            short(number(new, "/holds/longest_ms")),
+            short(number(new, "/outcome/answer_ms_max")),
+            share(number(new, "/outcome/taken_on"), number(new, "/outcome/handed_in")),
+            share(number(new, "/outcome/delivered"), number(new, "/outcome/taken_on_for_live")),
+            short(number(new, "/most_memory") / MB),
+        ]);
+    }
+    heads(&[
+        "run",
+        "messages held",
+        "memory, MB",
+        "state folder, MB",
+        "processor",
+        "healthz p99, ms",
+        "longest, ms",
+    ]);
+    for (source, one) in sources.iter().flat_map(|s| rows(s, "rows").iter().map(move |r| (s, r))) {
+        for point in one["backlog"].as_array().into_iter().flatten() {
+            row(&[
+                source.name.clone(),
+                short(number(point, "/held")),
+                short(number(point, "/memory") / MB),
+                short(number(point, "/state_bytes") / MB),
+                format!("{:.1}%", 100.0 * number(point, "/processor_share")),
+                short(number(point, "/holds/p99_ms")),
+                short(number(point, "/holds/longest_ms")),
+            ]);
+        }
+    }
+    for source in sources {
+        let several = &source.value["several"];
+        if !several.is_null() {
+            println!(
+                "\n{}: {} senders, {} destinations: last ready {} ms, {} MB each, most {} MB, {} bytes fetched",
+                source.name,
+                short(number(several, "/senders")),
+                short(number(several, "/destinations")),
+                short(number(several, "/last_ready_ms")),
+                short(number(several, "/memory_each") / MB),
+                short(number(several, "/most_memory_each") / MB),
+                short(number(several, "/bytes")),
+            );
+        }
+    }
+    fits(sources);
+}
+
+fn fits(sources: &[Source]) {
+    heads(&[
+        "run",
+        "what",
+        "slope",
+        "error of slope",
+        "at none",
+        "residual",
+        "points",
+        "measured to",
+        "at 350,000",
+    ]);
+    for source in sources {
+        for (name, line) in source.value["fits"].as_object().into_iter().flatten() {
+            let (slope, intercept) = (number(line, "/slope"), number(line, "/intercept"));
+            let by_destination = name.ends_with("destination");
+            row(&[
+                source.name.clone(),
+                name.replace('_', " "),
+                short(slope),
+                short(number(line, "/slope_error")),
+                short(intercept),
+                short(number(line, "/residual")),
+                short(number(line, "/points")),
+                short(number(line, "/measured_to")),
+                if by_destination { short(intercept + slope * f64::from(DESTINATIONS)) } else { "-".into() },
+            ]);
+        }
+    }
+}
+
+/// Tables of rows that are flat, with the names that they have in the file.
+fn module(sources: &[Source]) {
+    for list in ["listed", "told", "used", "held"] {
+        println!("\n{list}");
+        let mut headed = false;
+        for (source, one) in sources.iter().flat_map(|s| rows(s, list).iter().map(move |r| (s, r))) {
+            let Some(fields) = one.as_object() else { continue };
+            // The size comes first, as the rows are by it.
+            let size = |name: &str| name == "destinations" || name == "asked_for";
+            let (first, rest): (Vec<_>, Vec<_>) = fields.iter().partition(|(name, _)| size(name));
+            let fields: Vec<(&String, &Value)> = first.into_iter().chain(rest).collect();
+            if !std::mem::replace(&mut headed, true) {
+                let names: Vec<String> = fields.iter().map(|(name, _)| name.replace('_', " ")).collect();
+                let names: Vec<&str> =
+                    std::iter::once("run").chain(names.iter().map(String::as_str)).collect();
+                heads(&names);
+            }
+            let cells = fields.iter().map(|(_, v)| v.as_f64().map_or(v.to_string(), short));
+            row(&std::iter::once(source.name.clone()).chain(cells).collect::<Vec<_>>());
+        }
+    }
+    fits(sources);
+}
+
+fn fleet(sources: &[Source]) {
+    heads(&[
+        "run",
+        "stretch",
+        "changes",
+        "everywhere",
+        "each p50, ms",
+        "p99",
+        "last sender p50, ms",
+        "p99",
+        "most",
+        "answers",
+        "of them empty",
+        "whole lists",
+        "bytes",
+    ]);
+    for source in sources {
+        let stretches = [
+            ("single", "/single"),
+            ("bursts", "/bursts"),
+            ("a region cut and healed", "/region_cut/stretch"),
+        ];
+        for (name, path) in stretches {
+            let of = |field: &str| short(number(&source.value, &format!("{path}{field}")));
+            let count = |field: &str| number(&source.value, &format!("{path}/counts{field}"));
+            row(&[
+                source.name.clone(),
+                name.into(),
+                of("/in_force/changes"),
+                of("/in_force/everywhere"),
+                of("/in_force/each_p50_ms"),
+                of("/in_force/each_p99_ms"),
+                of("/in_force/last_sender_p50_ms"),
+                of("/in_force/last_sender_p99_ms"),
+                of("/in_force/last_sender_max_ms"),
+                short(count("/change_answers") + count("/empty_answers")),
+                short(count("/empty_answers")),
+                short(count("/whole_lists")),
+                short(count("/bytes")),
+            ]);
+        }
+    }
+    for source in sources {
+        println!("\n{}: by sender {}", source.name, source.value["single_by_sender"]);
+        println!("zone: {}", source.value["zone_restart"]);
+        let cut = &source.value["region_cut"];
+        println!("cut: {} senders, heal {} ms, {}", cut["senders"], cut["heal_ms"], cut["heal_counts"]);
+        let memory = number(&source.value, "/process_memory_most") / MB;
+        println!("process: {} MB at most", short(memory));
+    }
+}
+
+/// How many destinations a sender has had messages for in a span of time.
+fn active() {
+    heads(&["span", "messages", "destinations, zipf", "destinations, uniform"]);
+    for seconds in [10.0, 60.0, 600.0, 3_600.0, 86_400.0] {
+        let messages = RATE * seconds;
+        let expected = |skew| short(expected_destinations(skew, DESTINATIONS, messages));
+        row(&[
+            format!("{} s", short(seconds)),
+            short(messages),
+            expected(Skew::Zipf),
+            expected(Skew::Uniform),
+        ]);
+    }
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let mut given = std::env::args().skip(1);
+    let what = given.next().ok_or("which tables?")?;
+    let sources = given.map(|file| read(&PathBuf::from(file))).collect::<Result<Vec<_>, _>>()?;
+    match what.as_str() {
+        "sender" => sender(&sources),
+        "module" => module(&sources),
+        "fleet" => fleet(&sources),
+        "active" => active(),
+        other => return Err(format!("no tables of {other}").into()),
+    }
+    Ok(())
+}
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod record;
 pub mod relay;
 pub mod report;
+pub mod scale;
 pub mod score;
 pub mod seed;
 pub mod sim;
