--- a/crates/testbed/examples/scale_sender.rs
+++ b/crates/testbed/examples/scale_sender.rs
@@ -114,7 +114,8 @@
 
 #[derive(Serialize)]
 struct Report {
-    program: PathBuf,
+    /// Its file's name.
+    program: String,
     endpoints_per_destination: f64,
     rows: Vec<Row>,
     several: Option<Several>,
@@ -392,6 +393,7 @@
         None => None,
     };
     let fits = fits(&rows);
+    let program = program.file_name().unwrap_or_default().to_string_lossy().into_owned();
     Ok(Report { program, endpoints_per_destination: arguments.endpoints, rows, several, fits })
 }
 
