Catalogue: words leave with their list, and other addresses lie in their page

Need, found on reading the change again: zones and machine types of all lists ever taken stayed, so that after 65,536 of them entries with a new one could not be read; addresses that are not IPv4 lay in one map, which a change copied whole and the bound on memory did not count; memory was looked at for each unreadable entry ahead of the first readable one; all names of a replaced list were remembered in turn to keep the last 1,024; lists merged at an upgrade kept their spare room. Change: a whole list begins with no words; such addresses stand in their page; the others as they read.

--- a/crates/catalogue/src/departed.rs
+++ b/crates/catalogue/src/departed.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 /// Names remembered at most; the longest gone make room.
-const CAPACITY: usize = 1_024;
+pub(crate) const CAPACITY: usize = 1_024;
 
 #[derive(Clone, Default)]
 pub(crate) struct Departed {
--- a/crates/catalogue/src/intake/builder.rs
+++ b/crates/catalogue/src/intake/builder.rs
@@ -50,11 +50,11 @@
             Some(Entry::Gone(name)) => self.drop_name(name),
             None => false,
         };
-        if taken {
-            self.entries += 1;
-        } else {
+        if !taken {
             self.unreadable += 1;
+            return Ok(());
         }
+        self.entries += 1;
         self.check_bounds()
     }
 
--- a/crates/catalogue/src/page.rs
+++ b/crates/catalogue/src/page.rs
@@ -1,6 +1,7 @@
 //! Records of endpoints with neighbouring numbers, with their names.
 
 use crate::{Lifecycle, ARC_COUNTS};
+use std::net::{IpAddr, SocketAddr};
 
 /// Records of one page at most.
 pub(crate) const PAGE: usize = 128;
@@ -10,6 +11,7 @@
 pub(crate) struct Record {
     pub(crate) destination: u64,
     pub(crate) weight: f64,
+    /// Of IPv4; of another kind the page has it beside its records. Set by [`Page::put`].
     pub(crate) address: [u8; 4],
     pub(crate) port: u16,
     pub(crate) zone: u16,
@@ -52,6 +54,8 @@
 pub(crate) struct Page {
     records: Vec<Record>,
     names: String,
+    /// Addresses that are not IPv4, by place.
+    other_addresses: Vec<(usize, SocketAddr)>,
 }
 
 impl Page {
@@ -65,12 +69,22 @@
         &self.names[start..start + usize::from(record.name_length)]
     }
 
+    pub(crate) fn address(&self, place: usize, record: &Record) -> SocketAddr {
+        let other = self.other_addresses.iter().find(|other| other.0 == place);
+        other.map_or_else(|| SocketAddr::from((record.address, record.port)), |other| other.1)
+    }
+
     pub(crate) fn live(&self) -> impl Iterator<Item = usize> + '_ {
         (0..self.records.len()).filter(|&place| self.record(place).is_some())
     }
 
     /// Puts a record in its place. A name has at most [`crate::MAX_NAME`] bytes.
-    pub(crate) fn put(&mut self, place: usize, name: &str, mut record: Record) {
+    pub(crate) fn put(&mut self, place: usize, name: &str, address: SocketAddr, mut record: Record) {
+        self.other_addresses.retain(|other| other.0 != place);
+        match address.ip() {
+            IpAddr::V4(packed) => (record.address, record.port) = (packed.octets(), address.port()),
+            IpAddr::V6(_) => self.other_addresses.push((place, address)),
+        }
         if self.records.len() <= place {
             self.records.resize(place + 1, Record::default());
         }
@@ -93,6 +107,7 @@
         if let Some(record) = self.records.get_mut(place) {
             *record = Record::default();
         }
+        self.other_addresses.retain(|other| other.0 != place);
         let old = std::mem::take(&mut self.names);
         for record in self.records.iter_mut().filter(|record| record.state != State::Vacant) {
             let start = usize::from(record.name_at);
@@ -108,9 +123,11 @@
     pub(crate) fn shrink(&mut self) {
         self.records.shrink_to_fit();
         self.names.shrink_to_fit();
+        self.other_addresses.shrink_to_fit();
     }
 
     pub(crate) fn heap_bytes(&self) -> usize {
-        self.records.len() * size_of::<Record>() + self.names.len() + size_of::<Page>() + ARC_COUNTS
+        let rows = size_of_val(self.records.as_slice()) + size_of_val(self.other_addresses.as_slice());
+        rows + self.names.len() + size_of::<Page>() + ARC_COUNTS
     }
 }
--- a/crates/catalogue/src/snapshot.rs
+++ b/crates/catalogue/src/snapshot.rs
@@ -1,13 +1,12 @@
 //! The catalogue itself: pages of records, and what finds them by name and by destination.
 
-use crate::departed::Departed;
+use crate::departed::{self, Departed};
 use crate::index::Index;
 use crate::interner::Interner;
 use crate::page::{Page, Record, State, PAGE};
 use crate::{DestinationId, EndpointId, Lifecycle, MAX_NAME};
-use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// One endpoint as the list has it.
@@ -39,8 +38,6 @@
     by_destination: Index,
     zones: Arc<Interner>,
     machine_types: Arc<Interner>,
-    /// Addresses that are not IPv4.
-    other_addresses: Arc<BTreeMap<EndpointId, SocketAddr>>,
     departed: Arc<Departed>,
     next_id: EndpointId,
     listed: usize,
@@ -98,7 +95,7 @@
         let record = page.record(place)?;
         Some(Endpoint {
             name: page.name(record),
-            address: self.parts.address(id, record),
+            address: page.address(place, record),
             zone: self.parts.zones.word(record.zone),
             machine_type: self.parts.machine_types.word(record.machine_type),
             destination: record.destination,
@@ -154,21 +151,17 @@
             }
         }
         self.set_generation(other.generation());
+        self.shrink();
     }
 
     pub(crate) fn set_generation(&mut self, generation: Option<u64>) {
         Arc::make_mut(&mut self.parts).generation = generation;
     }
 
-    /// An empty catalogue that goes on with the numbers and words of this one.
+    /// An empty catalogue that goes on with the numbers of this one.
     pub(crate) fn successor(&self) -> Catalogue {
-        let parts = Parts {
-            zones: self.parts.zones.clone(),
-            machine_types: self.parts.machine_types.clone(),
-            departed: self.parts.departed.clone(),
-            next_id: self.parts.next_id,
-            ..Parts::default()
-        };
+        let parts =
+            Parts { departed: self.parts.departed.clone(), next_id: self.parts.next_id, ..Parts::default() };
         Catalogue { parts: Arc::new(parts) }
     }
 
@@ -187,18 +180,15 @@
         let Some(machine_type) = intern(&mut parts.machine_types, endpoint.machine_type) else {
             return false;
         };
-        let address = parts.pack_address(id, endpoint.address);
         let record = Record {
             destination: endpoint.destination,
             weight: endpoint.weight,
-            address,
-            port: endpoint.address.port(),
             zone,
             machine_type,
             state: endpoint.lifecycle.into(),
             ..Record::default()
         };
-        parts.put(id, endpoint.name, record);
+        parts.put(id, endpoint.name, endpoint.address, record);
         true
     }
 
@@ -221,7 +211,8 @@
             return;
         }
         let departed = Arc::make_mut(&mut Arc::make_mut(&mut self.parts).departed);
-        for id in gone {
+        let forgotten = gone.len().saturating_sub(departed::CAPACITY);
+        for &id in &gone[forgotten..] {
             if let Some(endpoint) = before.get(id) {
                 departed.add(endpoint.name, id);
             }
@@ -248,30 +239,7 @@
         self.pages.get(page)?.as_deref()?.record(place)
     }
 
-    fn address(&self, id: EndpointId, record: &Record) -> SocketAddr {
-        let packed = || SocketAddr::from((record.address, record.port));
-        if self.other_addresses.is_empty() {
-            return packed();
-        }
-        self.other_addresses.get(&id).copied().unwrap_or_else(packed)
-    }
-
-    fn pack_address(&mut self, id: EndpointId, address: SocketAddr) -> [u8; 4] {
-        if let IpAddr::V4(packed) = address.ip() {
-            self.forget_address(id);
-            return packed.octets();
-        }
-        Arc::make_mut(&mut self.other_addresses).insert(id, address);
-        [0; 4]
-    }
-
-    fn forget_address(&mut self, id: EndpointId) {
-        if self.other_addresses.contains_key(&id) {
-            Arc::make_mut(&mut self.other_addresses).remove(&id);
-        }
-    }
-
-    fn put(&mut self, id: EndpointId, name: &str, record: Record) {
+    fn put(&mut self, id: EndpointId, name: &str, address: SocketAddr, record: Record) {
         let old = self.record(id).copied();
         if let Some(old) = old.filter(|old| old.destination != record.destination) {
             self.by_destination.remove(hash_of(old.destination), id);
@@ -280,7 +248,7 @@
         if self.pages.len() <= number {
             self.pages.resize(number + 1, None);
         }
-        Arc::make_mut(self.pages[number].get_or_insert_default()).put(place, name, record);
+        Arc::make_mut(self.pages[number].get_or_insert_default()).put(place, name, address, record);
         self.by_name.insert(hash_of(name), id);
         self.by_destination.insert(hash_of(record.destination), id);
         self.next_id = self.next_id.max(id + 1);
@@ -300,7 +268,6 @@
         }
         self.by_name.remove(name_hash, id);
         self.by_destination.remove(hash_of(record.destination), id);
-        self.forget_address(id);
         self.listed -= 1;
         self.ready -= usize::from(record.state == State::Ready);
     }
--- a/crates/catalogue/tests/catalogue.rs
+++ b/crates/catalogue/tests/catalogue.rs
@@ -334,3 +334,44 @@
     // The directory of pages is copied: 8 bytes for each 128 endpoints. All else is one page and parts of an index.
     assert!(added[1] < 64 << 10, "{added:?}");
 }
+
+#[test]
+fn addresses_that_are_not_ipv4_count_and_a_change_of_one_costs_its_own_size() {
+    let row = |n: u64| Row {
+        address: format!("[2001:db8::{:x}]:5000", n % 65_536),
+        zone: "a".into(),
+        cell: n,
+        lifecycle: "Ready",
+        weight: 1.0,
+    };
+    let entries: Vec<String> = (0..20_000).map(|n| entry(&format!("s-{n}"), &row(n))).collect();
+    let before = held();
+    let current = take(&list(1, true, &entries), &Catalogue::default()).catalogue;
+    let bytes = (held() - before) as f64;
+    let counted = current.heap_bytes() as f64;
+    assert!((counted / bytes - 1.0).abs() < 0.1, "{counted} counted, {bytes} held");
+    let before = held();
+    let after = take(&list(2, false, &[entry("s-7", &Row { weight: 2.0, ..row(8) })]), &current).catalogue;
+    let added = held() - before;
+    assert!(added < 64 << 10, "{added} bytes for one change of {bytes}");
+    assert_eq!(after.get(after.id("s-7").unwrap()).unwrap().address, "[2001:db8::8]:5000".parse().unwrap());
+}
+
+#[test]
+fn words_that_no_endpoint_has_any_more_leave_with_a_whole_list() {
+    let mut catalogue = Catalogue::default();
+    // More zones than there are numbers for, a tenth of them at a time.
+    for generation in 0..10 {
+        let zone = |n: u64| Row {
+            address: "10.0.0.1:1".into(),
+            zone: format!("zone-{}", generation * 7_000 + n),
+            cell: n,
+            lifecycle: "Ready",
+            weight: 0.0,
+        };
+        let entries: Vec<String> = (0..7_000).map(|n| entry(&format!("s-{n}"), &zone(n))).collect();
+        let taken = take(&list(generation, true, &entries), &catalogue);
+        assert_eq!((taken.entries, taken.unreadable), (7_000, 0), "list {generation}");
+        catalogue = taken.catalogue;
+    }
+}
