--- a/crates/testbed/src/scale/change_log.rs
+++ b/crates/testbed/src/scale/change_log.rs
@@ -1,5 +1,6 @@
 //! The list's versions: what changed since any of them, and the whole list, as bytes that all answers share.
-use super::deployment::{list_head, Change, Deployment, Lifecycle, LIST_END};
+use super::deployment::{list_head, Change, Deployment, LIST_END};
+use crate::platform::list::Lifecycle;
 use bytes::Bytes;
 use std::collections::HashMap;
 
--- a/crates/testbed/src/scale/deployment.rs
+++ b/crates/testbed/src/scale/deployment.rs
@@ -1,4 +1,5 @@
 //! A synthetic deployment of any size, drawn from a seed, and its list of endpoints in discovery's form.
+use crate::platform::list::Lifecycle;
 use crate::seed::Seed;
 use rand::{Rng, RngExt};
 use std::io::{self, Write};
@@ -45,23 +46,6 @@
     Shared { live: Vec<SocketAddr>, down: SocketAddr },
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Lifecycle {
-    Ready,
-    Terminating,
-    Gone,
-}
-
-impl Lifecycle {
-    pub fn name(self) -> &'static str {
-        match self {
-            Lifecycle::Ready => "Ready",
-            Lifecycle::Terminating => "Terminating",
-            Lifecycle::Gone => "Gone",
-        }
-    }
-}
-
 /// An endpoint that is or was listed.
 #[derive(Clone, Copy, Debug)]
 pub struct Endpoint {
--- a/crates/testbed/src/scale/fleet.rs
+++ b/crates/testbed/src/scale/fleet.rs
@@ -10,15 +10,16 @@
 use crate::http::{Link, Start};
 use crate::seed::Seed;
 use catalogue::intake::{self, Taken};
-use catalogue::{Catalogue, Lifecycle, Limits};
+use catalogue::{Catalogue, Limits};
 use hdrhistogram::Histogram;
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
-use sender::api::{Condition, DestId, EndpointId, Entry, Event, Settings};
-use sender::on_demand::{Directory, OnDemandList};
+use sender::api::{Event, Settings};
+use sender::listed::{Listed, Words};
+use sender::on_demand::OnDemandList;
 use sender::policy;
 use sender::settings;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -37,46 +38,9 @@
 const KEPT: usize = 64;
 const LOOK_EVERY: Duration = Duration::from_millis(5);
 
-/// A catalogue as the decision module reads it.
-pub struct Listed<'a> {
-    pub catalogue: &'a Catalogue,
-    pub numbers: &'a Numbers,
-}
-
-/// The module's numbers of zones and machine types.
-pub struct Numbers {
-    zones: HashMap<String, usize>,
-    machine_types: HashMap<&'static str, usize>,
-}
-
-impl Default for Numbers {
-    fn default() -> Numbers {
-        let zones = (0..ZONES).map(|zone| (zone_name(zone), zone as usize)).collect();
-        let machine_types = MACHINE_TYPES.iter().enumerate().map(|(number, name)| (*name, number)).collect();
-        Numbers { zones, machine_types }
-    }
-}
-
-impl Directory for Listed<'_> {
-    fn entry(&self, endpoint: EndpointId) -> Option<Entry> {
-        let listed = self.catalogue.get(endpoint)?;
-        let condition = match listed.lifecycle {
-            Lifecycle::Ready => Condition::Ready,
-            Lifecycle::Draining => Condition::Draining,
-        };
-        Some(Entry {
-            endpoint,
-            dest: listed.destination,
-            kind: self.numbers.machine_types.get(listed.machine_type).copied().unwrap_or_default(),
-            zone: self.numbers.zones.get(listed.zone).copied().unwrap_or_default(),
-            condition,
-            hint: listed.weight,
-        })
-    }
-
-    fn endpoints_of(&self, destination: DestId) -> Vec<EndpointId> {
-        self.catalogue.endpoints_of(destination).collect()
-    }
+/// The words of this deployment, as its settings number them.
+pub fn words() -> Words {
+    Words { kinds: MACHINE_TYPES.map(str::to_string).to_vec(), zones: (0..ZONES).map(zone_name).collect() }
 }
 
 /// The settings of a sender of this deployment.
@@ -215,7 +179,7 @@
     pub fn start(spec: &Spec) -> Fleet {
         let version = spec.catalogue.generation().unwrap_or_default();
         let progress = Arc::new(Progress::new(spec.senders, version));
-        let (settings, numbers) = (module_settings(), Arc::new(Numbers::default()));
+        let (settings, words) = (module_settings(), Arc::new(words()));
         let shared = Shared::default();
         let mut tasks = JoinSet::new();
         for number in 0..spec.senders {
@@ -226,7 +190,7 @@
                 random: spec.seed.stream("hollow", number as u64),
                 policy: policy::Sender::new(settings.clone(), number as u64),
                 list: OnDemandList::default(),
-                numbers: numbers.clone(),
+                words: words.clone(),
                 catalogue: spec.catalogue.clone(),
                 shared: shared.clone(),
                 progress: progress.clone(),
@@ -249,7 +213,7 @@
     random: ChaCha8Rng,
     policy: policy::Sender,
     list: OnDemandList,
-    numbers: Arc<Numbers>,
+    words: Arc<Words>,
     catalogue: Catalogue,
     shared: Shared,
     progress: Arc<Progress>,
@@ -305,7 +269,7 @@
 
     fn apply(&mut self, taken: Taken) {
         self.catalogue = taken.catalogue;
-        let listed = Listed { catalogue: &self.catalogue, numbers: &self.numbers };
+        let listed = Listed { catalogue: &self.catalogue, words: &self.words };
         let mut events: Vec<Event> = Vec::new();
         match taken.reset {
             true => self.list.replaced(&self.policy, &listed, &mut events),
--- a/crates/testbed/src/scale/module.rs
+++ b/crates/testbed/src/scale/module.rs
@@ -1,11 +1,12 @@
 //! The decision module alone, in time that passes as it is told to: what it holds by listed destination, by used
 //! destination and by held message.
-use super::fleet::{Listed, Numbers};
+use super::fleet::words;
 use catalogue::intake::Taken;
 use catalogue::Catalogue;
 use sender::api::{
     Action, AttemptEnd, Condition, Entry, Event, Message, MsgId, Ns, Outcome, Settings, MS, SECOND,
 };
+use sender::listed::{Listed, Words};
 use sender::on_demand::OnDemandList;
 use sender::policy;
 use std::collections::HashMap;
@@ -21,7 +22,7 @@
     /// What is listed, and told to the module as it needs it; without, it is told lists by the caller.
     directory: Option<Catalogue>,
     on_demand: OnDemandList,
-    numbers: Numbers,
+    words: Words,
     tick: Ns,
     now: Ns,
     next: MsgId,
@@ -42,7 +43,7 @@
             policy: policy::Sender::new(settings.clone(), 30),
             directory: None,
             on_demand: OnDemandList::default(),
-            numbers: Numbers::default(),
+            words: words(),
             tick: settings.tick,
             now: 1_000 * SECOND,
             next: 1,
@@ -71,7 +72,7 @@
 
     /// Puts a list in force, and tells the module as much of it as it needs.
     pub fn take(&mut self, taken: Taken) {
-        let listed = Listed { catalogue: &taken.catalogue, numbers: &self.numbers };
+        let listed = Listed { catalogue: &taken.catalogue, words: &self.words };
         let mut events = Vec::new();
         match taken.reset {
             true => self.on_demand.replaced(&self.policy, &listed, &mut events),
@@ -113,7 +114,7 @@
         let (id, dest) = (self.next, self.next % destinations);
         self.next += 1;
         if let Some(catalogue) = &self.directory {
-            let listed = Listed { catalogue, numbers: &self.numbers };
+            let listed = Listed { catalogue, words: &self.words };
             self.on_demand.before_message(&self.policy, &listed, dest, events);
         }
         let message = Message { id, class: 0, dest, left: LEFT, cost: 0, key: None, tenant: 0 };
--- a/src/bin/sender/directory.rs
+++ b/src/bin/sender/directory.rs
@@ -1,6 +1,7 @@
 //! What is listed, for the policy, for calls and for operators: the snapshot in force, in the settings' numbers.
 use catalogue::{Catalogue, Lifecycle};
-use sender::api::{Condition, DestId, EndpointId, Entry, Kind};
+use sender::api::{DestId, EndpointId, Entry, Kind};
+use sender::listed::{Listed, Words};
 use sender::on_demand;
 use sender::settings::Around;
 use std::cell::{Cell, Ref, RefCell};
@@ -20,9 +21,7 @@
 pub struct Directory {
     catalogue: RefCell<Catalogue>,
     has_list: Cell<bool>,
-    /// Names in the order of the settings' numbers.
-    kinds: Vec<String>,
-    zones: Vec<String>,
+    words: Words,
     /// Properties by kind.
     properties: Vec<Kind>,
 }
@@ -32,8 +31,7 @@
         Directory {
             catalogue: RefCell::default(),
             has_list: Cell::default(),
-            kinds: around.kinds.clone(),
-            zones: around.zones.clone(),
+            words: Words { kinds: around.kinds.clone(), zones: around.zones.clone() },
             properties: kinds.to_vec(),
         }
     }
@@ -77,29 +75,16 @@
 
     /// The number of a machine type that the settings know.
     fn kind(&self, machine_type: &str) -> Option<usize> {
-        self.kinds.iter().position(|k| k == machine_type).filter(|&kind| kind < self.properties.len())
+        self.words.kinds.iter().position(|k| k == machine_type).filter(|&kind| kind < self.properties.len())
     }
 }
 
 impl on_demand::Directory for Directory {
     fn entry(&self, endpoint: EndpointId) -> Option<Entry> {
-        let catalogue = self.catalogue.borrow();
-        let listed = catalogue.get(endpoint)?;
-        let condition = match listed.lifecycle {
-            Lifecycle::Ready => Condition::Ready,
-            Lifecycle::Draining => Condition::Draining,
-        };
-        Some(Entry {
-            endpoint,
-            dest: listed.destination,
-            kind: self.kinds.iter().position(|k| k == listed.machine_type).unwrap_or(usize::MAX),
-            zone: self.zones.iter().position(|z| z == listed.zone).unwrap_or(usize::MAX),
-            condition,
-            hint: listed.weight,
-        })
+        Listed { catalogue: &self.catalogue(), words: &self.words }.entry(endpoint)
     }
 
     fn endpoints_of(&self, destination: DestId) -> Vec<EndpointId> {
-        self.catalogue.borrow().endpoints_of(destination).collect()
+        Listed { catalogue: &self.catalogue(), words: &self.words }.endpoints_of(destination)
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 #![doc = include_str!("../README.md")]
 pub mod api;
+pub mod listed;
 pub mod on_demand;
 pub mod policy;
 pub mod records;
