--- a/crates/catalogue/examples/measure.rs
+++ b/crates/catalogue/examples/footprint.rs
@@ -1,6 +1,6 @@
 //! What a catalogue costs by size: bytes held, time to take a whole list in, to apply one change, and to look up.
 //!
-//!     cargo run --release -p catalogue --example measure -- 30 1000 10000 100000 350000
+//!     cargo run --release -p catalogue --example footprint -- 30 1000 10000 100000 350000
 //!
 //! One JSON object a line.
 
