Scale tests: holds of the loop told from waits for a processor; before and after in one run

Need: the longest hold of the loop through a whole list was 13.3 ms and once 152 ms, cause unknown. The probe ran in the task that also wrote the stand-in's list of 350,000 (replace_all, over 100 ms), and could not tell the sender's work from a busy machine.

--- a/crates/testbed/examples/scale_tables.rs
+++ b/crates/testbed/examples/scale_tables.rs
@@ -18,9 +18,16 @@
     value: Value,
 }
 
-fn read(path: &Path) -> Result<Source, Box<dyn Error>> {
+/// What a file holds: one run, or one for each program that was played.
+fn read(path: &Path) -> Result<Vec<Source>, Box<dyn Error>> {
     let name = path.file_stem().unwrap_or_default().to_string_lossy().into_owned();
-    Ok(Source { name, value: serde_json::from_slice(&std::fs::read(path)?)? })
+    let value: Value = serde_json::from_slice(&std::fs::read(path)?)?;
+    let Some(programs) = value["programs"].as_array() else { return Ok(vec![Source { name, value }]) };
+    let own_name = |program: &Value| program["name"].as_str().unwrap_or_default().to_string();
+    let sources = programs
+        .iter()
+        .map(|program| Source { name: format!("{name} {}", own_name(program)), value: program.clone() });
+    Ok(sources.collect())
 }
 
 /// A number of a JSON value, by the names that lead there; none where it is missing.
@@ -97,6 +104,7 @@
         "taken on",
         "delivered",
         "connections by call",
+        "descriptors",
         "used",
         "MB",
         "processor",
@@ -114,6 +122,7 @@
                 share(number(outcome, "/taken_on"), number(outcome, "/handed_in")),
                 share(number(outcome, "/delivered"), number(outcome, "/taken_on_for_live")),
                 short(number(traffic, "/connections_by_call")),
+                short(number(traffic, "/most_descriptors")),
                 short(number(outcome, "/destinations_used")),
                 short(number(traffic, "/memory") / MB),
                 format!("{:.1}%", 100.0 * number(traffic, "/processor_share")),
@@ -129,25 +138,34 @@
         "bytes",
         "healthz p99, ms",
         "longest, ms",
+        "of it the loop ran",
+        "waited for a processor",
+        "the probe waited",
+        "longest without waits, ms",
         "message's longest answer, ms",
         "taken on",
         "delivered",
         "most, MB",
     ]);
     for (source, one) in sources.iter().flat_map(|s| rows(s, "rows").iter().map(move |r| (s, r))) {
-        let new = &one["replacement"];
-        row(&[
-            source.name.clone(),
-            short(number(one, "/destinations")),
-            short(number(new, "/fetched/whole_lists")),
-            short(number(new, "/fetched/bytes")),
-            short(number(new, "/holds/p99_ms")),
-            short(number(new, "/holds/longest_ms")),
-            short(number(new, "/outcome/answer_ms_max")),
-            share(number(new, "/outcome/taken_on"), number(new, "/outcome/handed_in")),
-            share(number(new, "/outcome/delivered"), number(new, "/outcome/taken_on_for_live")),
-            short(number(new, "/most_memory") / MB),
-        ]);
+        for new in one["replacements"].as_array().into_iter().flatten() {
+            row(&[
+                source.name.clone(),
+                short(number(one, "/destinations")),
+                short(number(new, "/fetched/whole_lists")),
+                short(number(new, "/fetched/bytes")),
+                short(number(new, "/holds/p99_ms")),
+                short(number(new, "/holds/longest_ms")),
+                short(number(new, "/holds/longest/loop_ran_ms")),
+                short(number(new, "/holds/longest/loop_waited_ms")),
+                short(number(new, "/holds/longest/probe_waited_ms")),
+                short(number(new, "/holds/longest_own_ms")),
+                short(number(new, "/outcome/answer_ms_max")),
+                share(number(new, "/outcome/taken_on"), number(new, "/outcome/handed_in")),
+                share(number(new, "/outcome/delivered"), number(new, "/outcome/taken_on_for_live")),
+                short(number(new, "/most_memory") / MB),
+            ]);
+        }
     }
     heads(&[
         "run",
@@ -315,6 +333,7 @@
     let mut given = std::env::args().skip(1);
     let what = given.next().ok_or("which tables?")?;
     let sources = given.map(|file| read(&PathBuf::from(file))).collect::<Result<Vec<_>, _>>()?;
+    let sources: Vec<Source> = sources.into_iter().flatten().collect();
     match what.as_str() {
         "sender" => sender(&sources),
         "module" => module(&sources),
--- a/crates/testbed/src/scale/fleet.rs
+++ b/crates/testbed/src/scale/fleet.rs
@@ -45,7 +45,7 @@
 
 /// The settings of a sender of this deployment.
 pub fn module_settings() -> Settings {
-    settings::read(&real_sender::settings()).expect("the settings of a play are read").0
+    settings::read(&real_sender::settings(real_sender::FLEET)).expect("the settings of a play are read").0
 }
 
 /// Which versions are in force where, and since when.
--- a/crates/testbed/src/scale/list_service.rs
+++ b/crates/testbed/src/scale/list_service.rs
@@ -53,7 +53,8 @@
     clock: Clock,
 }
 
-/// The service; it ends with the runtime that it was started on.
+/// The service; it ends with the runtime that it was started on. Copies are of the same service.
+#[derive(Clone)]
 pub struct ListService {
     shared: Arc<Shared>,
     addresses: Vec<SocketAddr>,
--- a/crates/testbed/src/scale/load.rs
+++ b/crates/testbed/src/scale/load.rs
@@ -30,12 +30,21 @@
 const KEPT: Duration = Duration::from_secs(5);
 const BODY: usize = 212;
 /// Nobody listens there: connections are refused.
-const DOWN: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 0, 0, 2)), 1);
+const REFUSES: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 0, 0, 2)), 1);
 /// How long is waited for what is on its way once the last message is handed in.
 const TAIL: Duration = Duration::from_secs(3);
 /// After an error of accepting, as where descriptors are short.
 const PAUSE: Duration = Duration::from_millis(10);
 
+/// What destinations that are down do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Down {
+    /// They refuse connections.
+    Refuses,
+    /// They take connections and never answer.
+    Silent,
+}
+
 #[derive(Default)]
 struct Seen {
     connections: AtomicU64,
@@ -51,8 +60,8 @@
 }
 
 impl Endpoints {
-    /// Each call is answered with 200 after `work`.
-    pub fn start(work: Duration) -> io::Result<Endpoints> {
+    /// Each call to one that is up is answered with 200 after `work`.
+    pub fn start(work: Duration, down: Down) -> io::Result<Endpoints> {
         let seen = Arc::new(Seen::default());
         let mut live = Vec::new();
         for _ in 0..SOCKETS {
@@ -60,7 +69,15 @@
             tokio::spawn(accept(addresses::listen(at)?, work, seen.clone()));
             live.push(at);
         }
-        Ok(Endpoints { addresses: Addresses::Shared { live, down: DOWN }, seen })
+        let down = match down {
+            Down::Refuses => REFUSES,
+            Down::Silent => {
+                let at = addresses::free()?;
+                tokio::spawn(stay_silent(addresses::listen(at)?));
+                at
+            }
+        };
+        Ok(Endpoints { addresses: Addresses::Shared { live, down }, seen })
     }
 
     pub fn addresses(&self) -> Addresses {
@@ -68,6 +85,19 @@
     }
 }
 
+/// Keeps connections until the other side ends them, and answers nothing.
+async fn stay_silent(listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let mut link = Link::new(stream, Clock::new(Instant::now()));
+                tokio::spawn(async move { while link.read_request().await.is_ok() {} });
+            }
+            Err(_) => sleep(PAUSE).await,
+        }
+    }
+}
+
 async fn accept(listener: TcpListener, work: Duration, seen: Arc<Seen>) {
     loop {
         match listener.accept().await {
--- a/crates/testbed/src/scale/real_sender.rs
+++ b/crates/testbed/src/scale/real_sender.rs
@@ -1,9 +1,10 @@
 //! A real sender as a child process, started as the platform starts one, and looked at from outside.
 use super::deployment::{zone_name, MACHINE_TYPES, ZONES};
+use super::loop_probe::LoopProbe;
 use super::usage::{self, Memory};
 use crate::addresses;
 use crate::clock::Clock;
-use crate::http::{self, Link, Message, Start};
+use crate::http;
 use crate::plan::Plan;
 use crate::seed::Seed;
 use crate::spec::Spec;
@@ -15,7 +16,6 @@
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
 use tokio::time::{sleep, timeout, Instant};
 
@@ -28,14 +28,29 @@
 const DESCRIPTORS: u64 = 1_024;
 const ASK_EVERY: Duration = Duration::from_millis(5);
 
+/// What a sender is told of the fleet and of its own limits.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// Senders of the fleet.
+    pub fleet: usize,
+    /// Bound on its descriptors.
+    pub descriptors: u64,
+}
+
+impl Default for Shape {
+    fn default() -> Shape {
+        Shape { fleet: FLEET, descriptors: DESCRIPTORS }
+    }
+}
+
 /// The settings that every sender of the synthetic deployment gets: of a play's, with this deployment's zones and
 /// machine types and nothing told of limits.
-pub fn settings() -> Value {
+pub fn settings(fleet: usize) -> Value {
     let spec = Spec::parse(Path::new("scale"), "senders = 1").expect("a plan with all that is usual");
     let mut settings = Plan::draw(&spec, Seed(1)).settings(0);
     let zones: Vec<String> = (0..ZONES).map(zone_name).collect();
     let each = |value: Value| Value::Array(vec![value; MACHINE_TYPES.len()]);
-    settings["NInstances"] = json!(FLEET);
+    settings["NInstances"] = json!(fleet);
     settings["Localities"] = json!(zones);
     settings["Kinds"] = json!(MACHINE_TYPES);
     settings["FamilyInfo"]["KindBatch"] = each(json!(1));
@@ -61,6 +76,7 @@
         folder: &Path,
         discovery: SocketAddr,
         number: u32,
+        shape: &Shape,
     ) -> io::Result<RealSender> {
         let (state, config) = (folder.join("state"), folder.join("config.json"));
         std::fs::create_dir_all(&state)?;
@@ -68,9 +84,9 @@
         let text = json!({
             "name": format!("n{number}"), "listen": at.to_string(), "discovery": discovery.to_string(),
             "seed": format!("{number:016x}"),
-            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS, "disk_mb": 64},
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": shape.descriptors, "disk_mb": 64},
             "known": {"generation": 0, "reset": true, "instances": []},
-            "settings": settings(),
+            "settings": settings(shape.fleet),
         });
         std::fs::write(&config, text.to_string())?;
         let mut command = Command::new(program);
@@ -105,9 +121,17 @@
         usage::processor(self.process()?)
     }
 
-    /// Of the thread that its loop runs on.
+    /// Processor time of the thread that its loop runs on.
     pub fn loop_processor(&self) -> io::Result<Duration> {
-        usage::first_thread(self.process()?)
+        Ok(usage::first_thread(self.process()?)?.ran)
+    }
+
+    pub fn probe(&self) -> io::Result<LoopProbe> {
+        LoopProbe::start(self.at, self.process()?)
+    }
+
+    pub fn descriptors(&self) -> io::Result<usize> {
+        usage::descriptors(self.process()?)
     }
 
     /// Bytes of its state folder.
@@ -148,45 +172,3 @@
         self.child.kill().await
     }
 }
-
-/// How long a sender's loop was held, as seen by asking it again and again on one connection.
-#[derive(Clone, Copy, Debug, Default, serde::Serialize)]
-pub struct Holds {
-    pub asked: usize,
-    pub unanswered: usize,
-    pub p50_ms: f64,
-    pub p99_ms: f64,
-    pub longest_ms: f64,
-}
-
-/// Asks `GET /healthz` every millisecond, one after the other, until `until`.
-pub async fn holds(at: SocketAddr, until: impl std::future::Future<Output = ()>) -> Holds {
-    let clock = Clock::new(Instant::now());
-    let mut took: Vec<f64> = Vec::new();
-    let (mut link, mut unanswered) = (None, 0);
-    tokio::pin!(until);
-    loop {
-        let begun = Instant::now();
-        tokio::select! {
-            () = &mut until => break,
-            answered = ask(&mut link, at, clock) => match answered {
-                Some(()) => took.push(begun.elapsed().as_secs_f64() * 1e3),
-                None => { link = None; unanswered += 1; }
-            },
-        }
-        sleep(Duration::from_millis(1)).await;
-    }
-    took.sort_by(f64::total_cmp);
-    let share =
-        |s: f64| took.get((s * took.len().saturating_sub(1) as f64) as usize).copied().unwrap_or(f64::NAN);
-    Holds { asked: took.len(), unanswered, p50_ms: share(0.5), p99_ms: share(0.99), longest_ms: share(1.0) }
-}
-
-async fn ask(link: &mut Option<Link>, at: SocketAddr, clock: Clock) -> Option<()> {
-    if link.is_none() {
-        *link = Some(Link::new(TcpStream::connect(at).await.ok()?, clock));
-    }
-    let open = link.as_mut()?;
-    open.write(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").await.ok()?;
-    matches!(open.read_answer().await, Ok(Message { start: Start::Status(_), .. })).then_some(())
-}
--- a/crates/testbed/src/scale/usage.rs
+++ b/crates/testbed/src/scale/usage.rs
@@ -38,27 +38,58 @@
     Ok(Duration::from_secs_f64(all / TICKS))
 }
 
-/// Processor time of a process's first thread so far, to the nanosecond.
-pub fn first_thread(process: u32) -> io::Result<Duration> {
-    Ok(Duration::from_nanos(scheduled(&std::fs::read_to_string(format!("/proc/{process}/schedstat"))?)))
+/// A thread's time so far, as the scheduler counts it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Scheduled {
+    /// On a processor.
+    pub ran: Duration,
+    /// Ready to run, without a processor.
+    pub waited: Duration,
 }
 
-fn scheduled(schedstat: &str) -> u64 {
-    schedstat.split_whitespace().next().and_then(|n| n.parse().ok()).unwrap_or(0)
+impl Scheduled {
+    pub fn since(&self, earlier: &Scheduled) -> Scheduled {
+        Scheduled {
+            ran: self.ran.saturating_sub(earlier.ran),
+            waited: self.waited.saturating_sub(earlier.waited),
+        }
+    }
+}
+
+/// Of a process's first thread.
+pub fn first_thread(process: u32) -> io::Result<Scheduled> {
+    scheduled(&std::fs::read_to_string(format!("/proc/{process}/schedstat"))?)
+}
+
+/// Of the thread that asks.
+pub fn this_thread() -> io::Result<Scheduled> {
+    scheduled(&std::fs::read_to_string("/proc/thread-self/schedstat")?)
+}
+
+fn scheduled(schedstat: &str) -> io::Result<Scheduled> {
+    let mut spans = schedstat.split_whitespace().map_while(|n| n.parse().ok().map(Duration::from_nanos));
+    let (ran, waited) = spans.next().zip(spans.next()).ok_or_else(|| missing("a thread's time"))?;
+    Ok(Scheduled { ran, waited })
+}
+
+/// Descriptors that a process has open.
+pub fn descriptors(process: u32) -> io::Result<usize> {
+    Ok(std::fs::read_dir(format!("/proc/{process}/fd"))?.count())
 }
 
 /// Processor time so far of this process's threads whose name begins so; threads that have ended are not counted.
 pub fn threads(name: &str) -> io::Result<Duration> {
-    let mut sum = 0;
+    let mut sum = Duration::ZERO;
     for task in std::fs::read_dir("/proc/self/task")? {
         let path = task?.path();
         // It may end while it is looked at.
         let Ok(own) = std::fs::read_to_string(path.join("comm")) else { continue };
         if own.starts_with(name) {
-            sum += scheduled(&std::fs::read_to_string(path.join("schedstat")).unwrap_or_default());
+            let own = std::fs::read_to_string(path.join("schedstat"));
+            sum += own.and_then(|own| scheduled(&own)).unwrap_or_default().ran;
         }
     }
-    Ok(Duration::from_nanos(sum))
+    Ok(sum)
 }
 
 /// Memory of the whole machine in bytes.
@@ -74,10 +105,10 @@
     fn this_process_is_seen() {
         let own = memory(std::process::id()).unwrap();
         assert!(own.now > 0 && own.most >= own.now);
-        assert!(
-            processor(std::process::id()).is_ok()
-                && first_thread(std::process::id()).unwrap() > Duration::ZERO
-        );
+        assert!(processor(std::process::id()).is_ok());
+        assert!(first_thread(std::process::id()).unwrap().ran > Duration::ZERO);
+        assert!(this_thread().unwrap().ran > Duration::ZERO);
+        assert!(descriptors(std::process::id()).unwrap() > 2);
         assert!(machine_memory().unwrap() > own.now);
     }
 }
