Messages ahead of a whole list in one batch go by that list

Change: destinations of messages that the policy has not handled count as in use, and what it was told in that batch is told anew.

--- a/src/on_demand.rs
+++ b/src/on_demand.rs
@@ -63,8 +63,8 @@
 pub struct OnDemandList {
     /// Known destinations without work that are still to be told of a replaced directory.
     behind: BTreeSet<DestId>,
-    /// Destinations looked up for events that the policy has not handled yet.
-    looked_up: BTreeSet<DestId>,
+    /// Destinations of messages in events that the policy has not handled yet.
+    awaited: BTreeSet<DestId>,
     /// Entries in events that the policy has not handled yet, as they were last told.
     told: BTreeMap<EndpointId, Entry>,
 }
@@ -81,7 +81,7 @@
         if self.behind.remove(&destination) {
             self.tell(policy, directory, &[destination], events);
         }
-        if policy.knows(destination) || !self.looked_up.insert(destination) {
+        if !self.awaited.insert(destination) || policy.knows(destination) {
             return;
         }
         let entries = entries_of(directory, destination);
@@ -112,7 +112,7 @@
     pub fn replaced(&mut self, policy: &Sender, directory: &impl Directory, events: &mut Vec<Event>) {
         self.behind.clear();
         let known: BTreeSet<DestId> =
-            policy.known_destinations().chain(self.looked_up.iter().copied()).collect();
+            policy.known_destinations().chain(self.awaited.iter().copied()).collect();
         if known.len() <= TOLD_AT_ONCE {
             let entries = known.into_iter().flat_map(|destination| entries_of(directory, destination));
             let entries: Vec<Entry> = entries.collect();
@@ -120,9 +120,12 @@
             events.push(Event::List { whole: true, entries });
             return;
         }
-        let in_use = |&id: &DestId| policy.has_work(id) || self.looked_up.contains(&id);
+        let in_use = |&id: &DestId| policy.has_work(id) || self.awaited.contains(&id);
         let (working, behind): (Vec<DestId>, Vec<DestId>) = known.into_iter().partition(in_use);
         self.behind = behind.into_iter().collect();
+        // What the policy is told ahead of this, in events that it has not handled, may have left the directory.
+        let told: Vec<EndpointId> = self.told.keys().copied().collect();
+        self.changed(policy, directory, &told, events);
         self.tell(policy, directory, &working, events);
     }
 
@@ -164,13 +167,13 @@
 
     /// To be called once the policy has handled the events.
     pub fn handled(&mut self) {
-        self.looked_up.clear();
+        self.awaited.clear();
         self.told.clear();
     }
 
     /// What the policy needs to be told of a changed endpoint, if anything.
     fn change(&self, policy: &Sender, directory: &impl Directory, endpoint: EndpointId) -> Option<Entry> {
-        let known = |entry: &Entry| policy.knows(entry.dest) || self.looked_up.contains(&entry.dest);
+        let known = |entry: &Entry| policy.knows(entry.dest) || self.awaited.contains(&entry.dest);
         directory.entry(endpoint).filter(known).or_else(|| {
             // It left the list, or moved to a destination that needs no state: it is gone where it was.
             let told = self.told.get(&endpoint).copied().or_else(|| policy.ready_entry(endpoint))?;
