Look for unused destinations in batches

Change: what counts as unused is settled at once from times of use, the rest goes on over 512 destinations a batch; one refill of token buckets in place of two; the kinds of outcomes that tell a latency stand with the others.

--- a/src/api.rs
+++ b/src/api.rs
@@ -169,6 +169,18 @@
         )
     }
 
+    /// How long the attempt took says something of its destination's work.
+    pub fn tells_latency(self) -> bool {
+        !matches!(
+            self,
+            Outcome::NotSent
+                | Outcome::CalledOff
+                | Outcome::NoConnection
+                | Outcome::Crowded
+                | Outcome::Malformed
+        )
+    }
+
     /// The attempt may run on after this outcome.
     pub fn may_still_run(self) -> bool {
         matches!(self, Outcome::NoAnswer | Outcome::ConnectionLost | Outcome::CalledOff)
--- a/src/policy/listed.rs
+++ b/src/policy/listed.rs
@@ -1,66 +1,77 @@
 //! State by endpoint: made as lists, operators and messages name them, dropped where nothing depends on it.
 
 use super::caps::top;
-use super::{Sender, FADED, FEW, IDLE_FOR, KEEP, MOST_IDLE, ROUGH};
+use super::{Sender, FADED, FEW, FORGET_AT_ONCE, IDLE_FOR, KEEP, MOST_IDLE, ROUGH};
 use crate::api::*;
 use crate::state::*;
 use crate::statistics::Use;
-use std::collections::BTreeSet;
 
 impl Sender {
-    /// Drops what the list no longer names and what is not used, where nothing depends on it.
-    pub(super) fn forget(&mut self) {
-        let (now, cold) = (self.now, self.cfg.cold);
-        let unused = self.unused();
-        self.endpoints.retain(|_, e| {
-            let returns = e.back_at.is_some_and(|at| now - at <= cold);
-            (e.listed && !unused.contains(&e.dest)) || e.in_flight > 0 || returns
-        });
-        let endpoints = &self.endpoints;
-        let named: BTreeSet<RouteId> = endpoints.keys().map(|&e| self.route_of(e)).collect();
-        self.routes.retain(|id, r| {
+    /// Begins to drop what the list no longer names and what is not used, where nothing depends on it: what is
+    /// idle for long, and the longest idle past a bound that does not count what holds calls back.
+    pub(super) fn begin_to_forget(&mut self) {
+        let idle = self.dests.iter().filter(|(id, dest)| !self.active.contains(id) && !dest.restrains);
+        let mut idle: Vec<(Ns, DestId)> = idle.map(|(&id, dest)| (dest.used_at, id)).collect();
+        idle.sort_unstable();
+        let old = idle.partition_point(|&(used_at, _)| self.now - used_at >= IDLE_FOR);
+        let unused = if self.looks_up { old.max(idle.len().saturating_sub(MOST_IDLE)) } else { 0 };
+        self.unused_to = unused.checked_sub(1).map(|last| idle[last]);
+        (self.forgot_at, self.forgetting) = (self.now, Some(0));
+    }
+
+    /// Goes on with that for some destinations.
+    pub(super) fn forget_from(&mut self, next: DestId) {
+        let ids: Vec<DestId> = self.dests.range(next..).map(|d| *d.0).take(FORGET_AT_ONCE).collect();
+        ids.iter().for_each(|&id| self.forget(id));
+        self.forgetting = ids.get(FORGET_AT_ONCE - 1).and_then(|last| last.checked_add(1));
+        if self.forgetting.is_some() {
+            return;
+        }
+        let (now, cold, dests) = (self.now, self.cfg.cold, &self.dests);
+        let places = |id: DestId| dests.get(&id).map_or(&[][..], |dest| &dest.places);
+        self.endpoints.retain(|id, e| places(e.dest).contains(id) || e.is_needed(now, cold));
+        self.routes.retain(|&(dest, id), r| {
             let seen = r.back_at.max(r.next_trial).max(r.wait_until);
-            let recent = now < seen.saturating_add(KEEP.max(cold)) && !unused.contains(&id.0);
-            named.contains(id) || r.in_flight > 0 || recent
-        });
-        let active = &self.active;
-        self.dests.retain(|id, dest| {
-            dest.cells.drop_under(FADED, now);
-            dest.arrivals.drop_under(FADED, now);
-            dest.places.retain(|e| endpoints.get(e).is_some_and(|e| e.dest == *id));
-            !dest.places.is_empty() || active.contains(id)
+            let named = places(dest).contains(&id) || (id == EndpointId::MAX && !places(dest).is_empty());
+            named || r.in_flight > 0 || now < seen.saturating_add(KEEP.max(cold))
         });
-        // What was held may have ended since its destination became due: nothing is left to look at there.
-        let dests = &self.dests;
-        self.agenda.retain(|(_, id)| dests.contains_key(id));
         self.keys.retain(|_, turn| !turn.queue.is_empty() || turn.rest_until > now);
-        (self.forgot_at, self.remembered) = (now, self.dests.len());
+        self.remembered = self.dests.len();
     }
 
-    /// Destinations that were not used for long, and the longest unused ones past a bound.
-    fn unused(&self) -> BTreeSet<DestId> {
-        let idle = |(id, dest): &(&DestId, &Dest)| !self.active.contains(id) && !self.restrains(**id, dest);
-        let idle = self.dests.iter().filter(|_| self.looks_up).filter(idle);
-        let mut idle: Vec<(Ns, DestId)> = idle.map(|(&id, dest)| (dest.used_at, id)).collect();
-        idle.sort_unstable();
-        let old = idle.partition_point(|&(used_at, _)| self.now - used_at >= IDLE_FOR);
-        idle.truncate(old.max(idle.len().saturating_sub(MOST_IDLE)));
-        idle.into_iter().map(|(_, id)| id).collect()
+    fn forget(&mut self, id: DestId) {
+        let (now, cold, active) = (self.now, self.cfg.cold, self.active.contains(&id));
+        let restrains = self.restrains(id, &self.dests[&id]);
+        let dest = self.dests.get_mut(&id).expect("looked up above");
+        let unused = !active && !restrains && Some((dest.used_at, id)) <= self.unused_to;
+        dest.restrains = restrains;
+        let endpoints = &self.endpoints;
+        dest.places.retain(|e| {
+            let known = endpoints.get(e).filter(|known| known.dest == id);
+            known.is_some_and(|known| (known.listed && !unused) || known.is_needed(now, cold))
+        });
+        dest.cells.drop_under(FADED, now);
+        dest.arrivals.drop_under(FADED, now);
+        if unused {
+            let routes = self.routes.extract_if((id, 0)..=(id, EndpointId::MAX), |_, r| r.in_flight == 0);
+            routes.for_each(drop);
+        }
+        if dest.places.is_empty() && !active {
+            // What was held may have ended since it became due: nothing is left to look at there.
+            self.agenda.remove(&(dest.look_at, id));
+            self.dests.remove(&id);
+        }
     }
 
     /// Whether what is known of a destination still holds calls to it back. An ordering key's rest is kept by
     /// the key, and a repeat window with its message.
     fn restrains(&self, id: DestId, dest: &Dest) -> bool {
         let (now, cold) = (self.now, self.cfg.cold);
-        let cold = |since: Ns| now - since <= cold;
         let waits = |r: &Route| r.wait_until.max(r.not_before) > now;
-        let route = |r: &Route| r.doubt || waits(r) || (r.cold && cold(r.back_at));
-        let place = |e: &EndpointId| {
-            let returns = |p: &Endpoint| p.in_flight > 0 || p.back_at.is_some_and(cold);
-            self.maint.contains(e) || self.endpoints.get(e).is_some_and(returns)
-        };
+        let route = |r: &Route| r.doubt || waits(r) || (r.cold && now - r.back_at <= cold);
+        let needed = |e: &EndpointId| self.endpoints.get(e).is_some_and(|e| e.is_needed(now, cold));
         let mut routes = self.routes.range((id, 0)..=(id, EndpointId::MAX));
-        routes.any(|(_, r)| route(r)) || dest.places.iter().any(place)
+        routes.any(|(_, r)| route(r)) || dest.places.iter().any(|e| self.maint.contains(e) || needed(e))
     }
 
     /// Entries that the caller has found for a message.
@@ -135,6 +146,13 @@
     }
 }
 
+impl Endpoint {
+    /// Whether a call is out there, or it comes back.
+    fn is_needed(&self, now: Ns, cold: Ns) -> bool {
+        self.in_flight > 0 || self.back_at.is_some_and(|at| now - at <= cold)
+    }
+}
+
 /// An endpoint before anything is known of it.
 fn unused() -> Endpoint {
     Endpoint { used_at: LONG_AGO, served_at: LONG_AGO, gap: Ns::MAX, ..Endpoint::default() }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -52,6 +52,8 @@
 /// begins anew then: its latencies have faded, and its share of a limit has mostly grown back.
 const IDLE_FOR: Ns = 60 * SECOND;
 const MOST_IDLE: usize = 2_048;
+/// Destinations that are looked at for that in one batch of events.
+const FORGET_AT_ONCE: usize = 512;
 
 /// For so long after a call got no connection its kind of endpoint is taken to be short of them.
 const SCARCE: Ns = 60 * SECOND;
@@ -89,11 +91,7 @@
     }
     /// What the share is of.
     fn whole(&self) -> f64 {
-        if self.told() > 0.0 {
-            self.told()
-        } else {
-            self.learned
-        }
+        Some(self.told()).filter(|&told| told > 0.0).unwrap_or(self.learned)
     }
     /// The share that may be used: what was told holds for a `span` and then doubles with each, as others'
     /// calls are not seen. Of a limit that nobody told it has no bound.
@@ -210,6 +208,11 @@
     looks_up: bool,
     /// Destinations left when that was last done.
     remembered: usize,
+    /// Where that goes on, and the last used one of those that count as unused.
+    #[serde(skip)]
+    forgetting: Option<DestId>,
+    #[serde(skip)]
+    unused_to: Option<(Ns, DestId)>,
     next_end: Ns,
     forgot_at: Ns,
     decided_at: Ns,
@@ -277,6 +280,9 @@
             self.decided_at = self.now;
             self.sweep();
         }
+        if let Some(next) = self.forgetting.take() {
+            self.forget_from(next);
+        }
         if periodic || self.next_end <= self.now {
             self.end_hopeless(out);
         }
@@ -334,8 +340,9 @@
         for id in self.active.clone() {
             self.due(id, LONG_AGO);
         }
-        if now - self.forgot_at >= 10 * SECOND || self.dests.len() > self.remembered + MOST_IDLE {
-            self.forget();
+        let many = self.dests.len() > self.remembered + MOST_IDLE;
+        if self.forgetting.is_none() && (many || now - self.forgot_at >= 10 * SECOND) {
+            self.begin_to_forget();
         }
     }
 
@@ -427,14 +434,7 @@
             // Quick errors would read as quick answers: all but a served call books the full aim, so that a
             // class misses there once about half of its calls fail.
             let took = if e.outcome == Outcome::Served { e.took.max(0) } else { class.aim };
-            if !matches!(
-                e.outcome,
-                Outcome::NotSent
-                    | Outcome::CalledOff
-                    | Outcome::NoConnection
-                    | Outcome::Crowded
-                    | Outcome::Malformed
-            ) {
+            if e.outcome.tells_latency() {
                 dest.cells.book((message.class, level), now, took as f64);
             }
             if e.outcome == Outcome::Served {
@@ -628,14 +628,13 @@
         let one_of_many = route.told() <= 0.0 && self.cfg.n_instances > FEW;
         let ill = (one_of_many || route.inherited) && route.failures >= ILL;
         if told && (sick || ill) {
-            // After an outage every sender has work that waited.
-            if !route.cold && self.cfg.n_instances > FEW {
-                let stale = stale(&self.cfg);
-                let equal = 1.0 / self.cfg.n_instances as f64;
-                (route.share, route.share_at) = (route.share_now(self.now, stale).min(equal), self.now);
-            }
             if !route.cold {
-                route.learn(self.now, stale(&self.cfg), route.usual.rate().max(LEAST / n));
+                let stale = stale(&self.cfg);
+                // After an outage every sender has work that waited.
+                if self.cfg.n_instances > FEW {
+                    (route.share, route.share_at) = (route.share_now(self.now, stale).min(1.0 / n), self.now);
+                }
+                route.learn(self.now, stale, route.usual.rate().max(LEAST / n));
             }
             route.mark_cold(self.now);
         }
@@ -700,21 +699,13 @@
             place.back_at = None;
             return now;
         }
-        let passed = (now - place.filled_at).max(0) as f64 / 1e9;
-        (place.tokens, place.filled_at) = ((place.tokens + passed * rate).min(1.0), now);
-        if place.tokens >= 1.0 {
-            now
-        } else {
-            now + ((1.0 - place.tokens) / rate * 1e9) as Ns + 1
-        }
+        refill(&mut place.tokens, &mut place.filled_at, rate, 1.0, now)
     }
 
     /// When the route may next be called; at or before now means it may be called now.
     fn ready_at(&mut self, id: RouteId) -> Ns {
         let now = self.now;
-        let Some(route) = self.routes.get(&id) else {
-            return Ns::MAX;
-        };
+        let Some(route) = self.routes.get(&id) else { return Ns::MAX };
         let held_off = route.wait_until.max(route.not_before);
         if held_off > now {
             return held_off;
@@ -735,14 +726,7 @@
         if rate.is_infinite() {
             return now;
         }
-        let passed = (now - route.filled_at).max(0) as f64 / 1e9;
-        route.tokens = (route.tokens + passed * rate).min(burst);
-        route.filled_at = now;
-        if route.tokens >= 1.0 {
-            now
-        } else {
-            now + ((1.0 - route.tokens) / rate * 1e9) as Ns + 1
-        }
+        refill(&mut route.tokens, &mut route.filled_at, rate, burst, now)
     }
 
     /// The one guard of every further send (`to`) and refusal (`None`): no effect may happen twice.
@@ -1048,6 +1032,17 @@
     }
 }
 
+/// Fills a token bucket up, and tells when it has a token.
+fn refill(tokens: &mut f64, filled_at: &mut Ns, rate: f64, burst: f64, now: Ns) -> Ns {
+    let passed = (now - *filled_at).max(0) as f64 / 1e9;
+    (*tokens, *filled_at) = ((*tokens + passed * rate).min(burst), now);
+    if *tokens >= 1.0 {
+        now
+    } else {
+        now + ((1.0 - *tokens) / rate * 1e9) as Ns + 1
+    }
+}
+
 /// The steady rate that holds an aged count at this weight.
 fn per_second(weight: f64) -> f64 {
     weight * std::f64::consts::LN_2 / (HALF_LIFE / 1e9)
--- a/src/state.rs
+++ b/src/state.rs
@@ -140,6 +140,9 @@
     pub latency: Stat,
     /// Messages served: the rate at which held ones may expect their turn.
     pub served: Stat,
+    /// Calls there were held back when it was last looked at for being unused.
+    #[serde(skip)]
+    pub restrains: bool,
 }
 
 #[derive(Default, Serialize, Deserialize)]
--- a/src/stored.rs
+++ b/src/stored.rs
@@ -59,6 +59,7 @@
         };
         let cells = cells.by_key(|place| (place / levels.max(1), place % levels.max(1)));
         let arrivals = arrivals.by_key(|class| class);
-        Dest { cap, in_flight, held, places, used_at, look_at, cells, arrivals, latency, served }
+        let restrains = false;
+        Dest { cap, in_flight, held, places, used_at, look_at, cells, arrivals, latency, served, restrains }
     }
 }
