Bounded memory through whole lists that follow one another

Cause: list threads and the threads that drop lists came to have up to three arenas of the allocator, and lists were scattered over what the growth of index parts and pages had left between them. Change: two arenas, fixed thresholds; index parts of a whole list get their room at first and grow by an eighth, pages get that of all their records; only the last holder's drop takes a thread.

--- a/crates/catalogue/src/index.rs
+++ b/crates/catalogue/src/index.rs
@@ -7,6 +7,13 @@
 const PART_BITS: u32 = 10;
 const PARTS: usize = 1 << PART_BITS;
 
+/// A part that is full grows by this share of its slots, and by so many at least: what a list is built in is what it
+/// stays in, so that little room is left between allocations for the next list to be scattered over.
+const GROWTH: usize = 8;
+const LEAST_GROWTH: usize = 4;
+/// A part keeps spare room of up to this share of its slots.
+const MOST_SPARE: usize = 4;
+
 /// A hash with the number of an endpoint that has it.
 type Slot = (u32, EndpointId);
 
@@ -27,6 +34,16 @@
 }
 
 impl Index {
+    /// One with room for so many slots, and for the parts to differ.
+    pub(crate) fn with_room(slots: usize) -> Index {
+        let mean = slots / PARTS;
+        let room = mean + mean / GROWTH;
+        if room == 0 {
+            return Index::default();
+        }
+        Index { parts: (0..PARTS).map(|_| Some(Arc::new(Vec::with_capacity(room)))).collect() }
+    }
+
     /// Numbers under a hash, ascending. Other keys may have the same hash.
     pub(crate) fn find(&self, hash: u32) -> impl Iterator<Item = EndpointId> + '_ {
         let part = self.parts[part_of(hash)].as_deref().map_or(&[][..], Vec::as_slice);
@@ -37,6 +54,9 @@
     pub(crate) fn insert(&mut self, hash: u32, id: EndpointId) {
         let part = Arc::make_mut(self.parts[part_of(hash)].get_or_insert_default());
         if let Err(at) = part.binary_search(&(hash, id)) {
+            if part.len() == part.capacity() {
+                part.reserve_exact((part.len() / GROWTH).max(LEAST_GROWTH));
+            }
             part.insert(at, (hash, id));
         }
     }
@@ -52,10 +72,13 @@
         }
     }
 
-    /// Gives back the room that growing has left over, where no other snapshot has the part.
+    /// Gives back the room of parts that are much larger than what they hold, where no other snapshot has them.
     pub(crate) fn shrink(&mut self) {
-        for part in self.parts.iter_mut().flatten() {
-            if let Some(part) = Arc::get_mut(part) {
+        for place in &mut self.parts {
+            let Some(part) = place.as_mut().and_then(Arc::get_mut) else { continue };
+            if part.is_empty() {
+                *place = None;
+            } else if part.capacity() > part.len() + part.len() / MOST_SPARE + LEAST_GROWTH {
                 part.shrink_to_fit();
             }
         }
--- a/crates/catalogue/src/intake/builder.rs
+++ b/crates/catalogue/src/intake/builder.rs
@@ -44,6 +44,10 @@
 
     /// Takes one entry. What can't be read costs itself alone.
     pub(super) fn entry(&mut self, text: &str) -> Result<(), OverBounds> {
+        if self.reset && self.entries + self.unreadable == 0 {
+            // Whole lists are mostly as long as the one before.
+            self.named.make_room(self.current.len());
+        }
         let fields = Fields::parse(text);
         let taken = match fields.as_ref().and_then(Fields::entry) {
             Some(Entry::Listed(endpoint)) => self.list(&endpoint),
--- a/crates/catalogue/src/page.rs
+++ b/crates/catalogue/src/page.rs
@@ -85,6 +85,10 @@
             IpAddr::V4(packed) => (record.address, record.port) = (packed.octets(), address.port()),
             IpAddr::V6(_) => self.other_addresses.push((place, address)),
         }
+        if self.records.is_empty() && place == 0 {
+            // Numbers are given in order: this page will be filled.
+            self.records.reserve_exact(PAGE);
+        }
         if self.records.len() <= place {
             self.records.resize(place + 1, Record::default());
         }
--- a/crates/catalogue/src/snapshot.rs
+++ b/crates/catalogue/src/snapshot.rs
@@ -64,6 +64,11 @@
         self.parts.generation
     }
 
+    /// Whether nobody else holds this snapshot, so that dropping it frees what no other one shares.
+    pub fn is_last_holder(&self) -> bool {
+        Arc::strong_count(&self.parts) == 1
+    }
+
     /// How many endpoints are listed.
     pub fn len(&self) -> usize {
         self.parts.listed
@@ -154,14 +159,20 @@
         self.shrink();
     }
 
+    /// Makes room in the indexes of an empty catalogue for so many endpoints.
+    pub(crate) fn make_room(&mut self, endpoints: usize) {
+        let parts = Arc::make_mut(&mut self.parts);
+        (parts.by_name, parts.by_destination) = (Index::with_room(endpoints), Index::with_room(endpoints));
+    }
+
     pub(crate) fn set_generation(&mut self, generation: Option<u64>) {
         Arc::make_mut(&mut self.parts).generation = generation;
     }
 
     /// An empty catalogue that goes on with the numbers of this one.
     pub(crate) fn successor(&self) -> Catalogue {
-        let parts =
-            Parts { departed: self.parts.departed.clone(), next_id: self.parts.next_id, ..Parts::default() };
+        let (departed, next_id) = (self.parts.departed.clone(), self.parts.next_id);
+        let parts = Parts { departed, next_id, ..Parts::default() };
         Catalogue { parts: Arc::new(parts) }
     }
 
--- a/src/bin/sender/list_intake.rs
+++ b/src/bin/sender/list_intake.rs
@@ -148,7 +148,8 @@
 
 /// Drops a snapshot that may be the last one of its list, a large one off the loop.
 pub fn release(catalogue: Catalogue) {
-    if catalogue.len() > LARGE {
+    // All holders but the list's reader, which ends first, are on the loop.
+    if catalogue.len() > LARGE && catalogue.is_last_holder() {
         let drop_and_give_back = move || {
             drop(catalogue);
             memory::give_back();
--- a/src/bin/sender/main.rs
+++ b/src/bin/sender/main.rs
@@ -50,6 +50,7 @@
 const INBOX: usize = 2_048;
 
 fn main() -> ExitCode {
+    memory::configure();
     let level = std::env::var("RUST_LOG").ok().and_then(|l| l.parse().ok()).unwrap_or(tracing::Level::INFO);
     tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).with_ansi(false).init();
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
--- a/tests/on_demand.rs
+++ b/tests/on_demand.rs
@@ -882,7 +882,7 @@
     (0..1_500).for_each(|dest| driver.call(message(dest, dest, 0), Outcome::Served));
     // For one that is known without work, and for one that was never used.
     let used = [700, 5_000];
-    used.map(|dest| driver.message(message(10_000 + dest, dest, 0)));
+    used.iter().for_each(|&dest| driver.message(message(10_000 + dest, dest, 0)));
     for dest in (0..1_500).chain([5_000]) {
         driver.listed.remove(dest as EndpointId);
         driver.listed.set(entry(dest as EndpointId + MOVED, dest, 0));
