Split the client into connection, pool, outcomes and calls

Need: client.rs had 798 lines and four jobs. Change: connection.rs is one HTTP connection, client/pool.rs the idle ones with what makes room, client/outcome.rs what an answer means, client.rs the calls; moved, with methods in place of fields of each other's.

--- a/src/bin/sender/discovery.rs
+++ b/src/bin/sender/discovery.rs
@@ -1,5 +1,5 @@
 //! The list of endpoints: the whole list once, then a watch that goes out again at once.
-use crate::client::{self, Connection, Fault};
+use crate::connection::{self, Connection, Fault};
 use crate::input::Input;
 use crate::list_intake::{BodyError, ListIntake};
 use catalogue::intake::{IntakeError, Taken};
@@ -123,7 +123,7 @@
     let (link, answer) = loop {
         let kept = Connection::kept_or_new(connection, at, Duration::from_secs(1)).await;
         let mut link = kept.map_err(|e| Missed::TurnedAway(e.to_string()))?;
-        let request = client::request("GET", path, at, &[], Default::default());
+        let request = connection::request("GET", path, at, &[], Default::default());
         match link.send(request).await {
             Ok(answer) => break (link, answer),
             // The kept connection had ended since the last answer: no call has failed, and a watch that goes on
--- a/src/bin/sender/main.rs
+++ b/src/bin/sender/main.rs
@@ -2,6 +2,7 @@
 mod body_channel;
 mod client;
 mod config;
+mod connection;
 mod control;
 mod core;
 mod directory;
--- a/src/bin/sender/notices.rs
+++ b/src/bin/sender/notices.rs
@@ -1,5 +1,6 @@
 //! Notices to the platform: how messages ended that were taken on and not delivered.
-use crate::client::{self, Connection};
+use crate::client::MAX_BODY;
+use crate::connection::{self, Connection};
 use crate::input::Input;
 use sender::records::Ending;
 use serde_json::json;
@@ -39,8 +40,8 @@
     let kept = Connection::kept_or_new(connection, at, LONGEST).await;
     let mut link = kept.map_err(|e| e.to_string())?;
     let headers = [("content-type", "application/x-ndjson")];
-    let request = client::request("POST", "/reports", at, &headers, body.to_string().into());
-    let (status, ..) = link.exchange(request, client::MAX_BODY).await.map_err(|e| e.to_string())?;
+    let request = connection::request("POST", "/reports", at, &headers, body.to_string().into());
+    let (status, ..) = link.exchange(request, MAX_BODY).await.map_err(|e| e.to_string())?;
     *connection = Some(link);
     if status == 204 {
         Ok(())
