Test that a handover tells the module first what it was not told of a whole list

Need: destinations without work are told of a whole list after it; a handover in between would pass on endpoints that have left. Change: list and handover come in one round of a core whose module knows 300 destinations.

--- a/src/bin/sender/core/tests.rs
+++ b/src/bin/sender/core/tests.rs
@@ -182,11 +182,15 @@
 }
 
 fn offer(id: &str) -> (Input, oneshot::Receiver<Reply>) {
+    offer_to(7, id)
+}
+
+fn offer_to(dest: u64, id: &str) -> (Input, oneshot::Receiver<Reply>) {
     let taken = Taken {
         id: 0,
         class: "order".into(),
         tenant: "acme".into(),
-        dest: 7,
+        dest,
         trace: id.into(),
         key: None,
         end: wall_ms() + 16_000,
@@ -397,3 +401,44 @@
         until("it is delivered", || calls.get() == 1).await;
     });
 }
+
+#[test]
+fn what_the_module_was_not_told_of_a_whole_list_is_told_before_a_handover() {
+    // More than are told at once.
+    const DESTINATIONS: u64 = 300;
+    let folder = Folder::new("behind");
+    on_one_thread(async {
+        let calls = Rc::new(Cell::new(0));
+        let at = endpoint(calls.clone()).await;
+        let listed = |name: &str, generation: u64| {
+            let entry = |dest| {
+                json!({"instanceId": format!("{name}-{dest}"), "hostPort": at.to_string(), "zone": "z",
+                        "machineType": "plain", "cell": dest, "lifecycle": "Ready", "weight": 1.0,
+                        "startedAtMs": 0})
+            };
+            let instances: Vec<_> = (0..DESTINATIONS).map(entry).collect();
+            json!({"generation": generation, "reset": true, "instances": instances}).to_string()
+        };
+        let limits = catalogue::Limits::of_memory(64 << 20);
+        let read = |list: String, current: &Catalogue| {
+            catalogue::intake::read(list.as_bytes(), current, &limits).unwrap()
+        };
+        let first = read(listed("old", 1), &Catalogue::default()).catalogue;
+        let (core_in, _, _) = started_with(&folder.0, first.clone(), |_| None).await;
+        for dest in 0..DESTINATIONS {
+            let (input, answer) = offer_to(dest, &format!("m-{dest}"));
+            core_in.send(input).await.unwrap();
+            assert!(matches!(answer.await, Ok(Reply::TakenOn)));
+            until("it is delivered", || calls.get() as u64 == dest + 1).await;
+        }
+        // Both come in one round.
+        let second = read(listed("new", 2), &first);
+        let new = second.catalogue.clone();
+        let (reply, state) = oneshot::channel();
+        core_in.try_send(Input::Catalogue(second)).unwrap();
+        core_in.try_send(Input::HandOver(reply)).unwrap();
+        let state = state.await.unwrap().expect("it hands over");
+        let told = new.ids().filter(|&endpoint| state.module.knows_endpoint(endpoint)).count();
+        assert_eq!(told as u64, DESTINATIONS);
+    });
+}
