Capacity page: tables made from their files, which a test checks; figures of this state

Change: crates/testbed/src/capacity makes the tables between marks from docs/capacity/ (scale_tables -- page), tests/capacity_page.rs holds the page to them; both programs in one run.

--- a/crates/testbed/examples/scale_tables.rs
+++ b/crates/testbed/examples/scale_tables.rs
@@ -1,15 +1,15 @@
-//! The tables of `docs/CAPACITY.md`, from what the scale tests gave.
+//! Tables of what the scale tests gave, in full; `page` fills those of `docs/CAPACITY.md` from the files beside it.
 //!
-//!     cargo run --release -p testbed --example scale_tables -- sender FILE... | module FILE... | fleet FILE... | active
+//!     cargo run --release -p testbed --example scale_tables -- sender FILE... | module FILE... | fleet FILE... | page
 //!
 //! Several files are told apart by their names; the first is usually the state before a change.
 use serde_json::Value;
 use std::error::Error;
 use std::path::{Path, PathBuf};
-use testbed::scale::traffic::{expected_destinations, Skew};
+use testbed::capacity::page;
+use testbed::capacity::table::{percent, short};
 
-/// Messages a second that a sender of the fleet takes, and destinations, at the size that is planned for.
-const RATE: f64 = 106.0;
+/// Destinations at the size that is planned for.
 const DESTINATIONS: u32 = 350_000;
 const MB: f64 = 1e6;
 
@@ -35,25 +35,6 @@
     value.pointer(path).and_then(Value::as_f64).unwrap_or(f64::NAN)
 }
 
-/// As few digits as say something.
-fn short(number: f64) -> String {
-    match number.abs() {
-        _ if number.is_nan() => "-".into(),
-        whole if whole == whole.trunc() && whole < 1e15 => thousands(number as i64),
-        100.0..1e15 => thousands(number.round() as i64),
-        10.0.. => format!("{number:.1}"),
-        0.01.. => format!("{number:.2}"),
-        _ => format!("{number:.2e}"),
-    }
-}
-
-fn thousands(number: i64) -> String {
-    let digits = number.abs().to_string();
-    let groups: Vec<&str> =
-        digits.as_bytes().rchunks(3).rev().map(|g| std::str::from_utf8(g).unwrap_or("")).collect();
-    format!("{}{}", if number < 0 { "-" } else { "" }, groups.join(","))
-}
-
 fn heads(names: &[&str]) {
     println!("\n| {} |", names.join(" | "));
     println!("|{}", " --- |".repeat(names.len()));
@@ -67,10 +48,6 @@
     source.value.get(list).and_then(Value::as_array).map_or(&[], Vec::as_slice)
 }
 
-fn share(part: f64, whole: f64) -> String {
-    format!("{:.1}%", 100.0 * part / whole)
-}
-
 fn sender(sources: &[Source]) {
     heads(&[
         "run",
@@ -119,8 +96,8 @@
                 short(number(one, "/destinations")),
                 outcome["skew"].as_str().unwrap_or_default().into(),
                 short(number(outcome, "/per_second")),
-                share(number(outcome, "/taken_on"), number(outcome, "/handed_in")),
-                share(number(outcome, "/delivered"), number(outcome, "/taken_on_for_live")),
+                percent(number(outcome, "/taken_on"), number(outcome, "/handed_in")),
+                percent(number(outcome, "/delivered"), number(outcome, "/taken_on_for_live")),
                 short(number(traffic, "/connections_by_call")),
                 short(number(traffic, "/most_descriptors")),
                 short(number(outcome, "/destinations_used")),
@@ -163,8 +140,8 @@
                 short(number(new, "/holds/most_ran_ms")),
                 short(number(new, "/holds/late_longest_ms")),
                 short(number(new, "/outcome/answer_ms_max")),
-                share(number(new, "/outcome/taken_on"), number(new, "/outcome/handed_in")),
-                share(number(new, "/outcome/delivered"), number(new, "/outcome/taken_on_for_live")),
+                percent(number(new, "/outcome/taken_on"), number(new, "/outcome/handed_in")),
+                percent(number(new, "/outcome/delivered"), number(new, "/outcome/taken_on_for_live")),
                 short(number(new, "/most_memory") / MB),
             ]);
         }
@@ -316,19 +293,13 @@
     }
 }
 
-/// How many destinations a sender has had messages for in a span of time.
-fn active() {
-    heads(&["span", "messages", "destinations, zipf", "destinations, uniform"]);
-    for seconds in [10.0, 60.0, 600.0, 3_600.0, 86_400.0] {
-        let messages = RATE * seconds;
-        let expected = |skew| short(expected_destinations(skew, DESTINATIONS, messages));
-        row(&[
-            format!("{} s", short(seconds)),
-            short(messages),
-            expected(Skew::Zipf),
-            expected(Skew::Uniform),
-        ]);
-    }
+/// Fills the tables of the page, from the files beside it.
+fn page() -> Result<(), Box<dyn Error>> {
+    let docs = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs");
+    let path = docs.join("CAPACITY.md");
+    let filled = page::filled(&std::fs::read_to_string(&path)?, &docs.join("capacity"))?;
+    std::fs::write(&path, filled)?;
+    Ok(())
 }
 
 fn main() -> Result<(), Box<dyn Error>> {
@@ -340,7 +311,7 @@
         "sender" => sender(&sources),
         "module" => module(&sources),
         "fleet" => fleet(&sources),
-        "active" => active(),
+        "page" => page()?,
         other => return Err(format!("no tables of {other}").into()),
     }
     Ok(())
--- /dev/null
+++ b/crates/testbed/src/capacity/measured.rs
@@ -0,0 +1,63 @@
+//! What the scale tests gave, read from their files.
+use serde_json::Value;
+use std::path::{Path, PathBuf};
+
+/// Why a file of figures can't be read.
+#[derive(Debug, thiserror::Error)]
+pub enum MeasuredError {
+    #[error("{0}: {1}")]
+    File(PathBuf, std::io::Error),
+    #[error("{0}: {1}")]
+    Json(PathBuf, serde_json::Error),
+    #[error("{file} has no {path}")]
+    Missing { file: String, path: String },
+}
+
+/// A JSON value with the file that it comes from.
+#[derive(Clone, Debug)]
+pub struct Measured {
+    file: String,
+    value: Value,
+}
+
+impl Measured {
+    /// Reads `NAME.json` in a folder.
+    pub fn read(folder: &Path, name: &str) -> Result<Measured, MeasuredError> {
+        let path = folder.join(format!("{name}.json"));
+        let bytes = std::fs::read(&path).map_err(|e| MeasuredError::File(path.clone(), e))?;
+        let value = serde_json::from_slice(&bytes).map_err(|e| MeasuredError::Json(path, e))?;
+        Ok(Measured { file: name.into(), value })
+    }
+
+    /// What stands at a pointer (RFC 6901).
+    pub fn at(&self, path: &str) -> Result<Measured, MeasuredError> {
+        let value = self.value.pointer(path).cloned().ok_or_else(|| self.missing(path))?;
+        Ok(Measured { file: self.file.clone(), value })
+    }
+
+    /// The elements of a list.
+    pub fn list(&self, path: &str) -> Result<Vec<Measured>, MeasuredError> {
+        let list = self.value.pointer(path).and_then(Value::as_array).ok_or_else(|| self.missing(path))?;
+        Ok(list.iter().map(|value| Measured { file: self.file.clone(), value: value.clone() }).collect())
+    }
+
+    pub fn number(&self, path: &str) -> Result<f64, MeasuredError> {
+        self.value.pointer(path).and_then(Value::as_f64).ok_or_else(|| self.missing(path))
+    }
+
+    /// None where it is null, as of something that did not happen.
+    pub fn number_if_any(&self, path: &str) -> Result<Option<f64>, MeasuredError> {
+        match self.value.pointer(path) {
+            Some(Value::Null) => Ok(None),
+            _ => self.number(path).map(Some),
+        }
+    }
+
+    pub fn text(&self, path: &str) -> Result<&str, MeasuredError> {
+        self.value.pointer(path).and_then(Value::as_str).ok_or_else(|| self.missing(path))
+    }
+
+    fn missing(&self, path: &str) -> MeasuredError {
+        MeasuredError::Missing { file: self.file.clone(), path: path.into() }
+    }
+}
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -4,6 +4,7 @@
 //! time and randomness as arguments; `endpoints`, `discovery`, `clients`, `strangers` and `process` are the
 //! sockets and processes that feed them; `play` puts them together.
 pub mod addresses;
+pub mod capacity;
 pub mod clients;
 pub mod clock;
 pub mod compare;
