--- a/src/policy/listed.rs
+++ b/src/policy/listed.rs
@@ -7,8 +7,8 @@
 use crate::statistics::Use;
 
 impl Sender {
-    /// Begins to drop what the list no longer names and what is not used, where nothing depends on it: what is
-    /// idle for long, and the longest idle past a bound that does not count what holds calls back.
+    /// Begins to drop what the list no longer names and what is not used, where nothing depends on it: what
+    /// is idle for long, and the longest idle past a bound that does not count what holds calls back.
     pub(super) fn begin_to_forget(&mut self) {
         let idle = self.dests.iter().filter(|(id, dest)| !self.active.contains(id) && !dest.restrains);
         let mut idle: Vec<(Ns, DestId)> = idle.map(|(&id, dest)| (dest.used_at, id)).collect();
