Look endpoints up in order where unused destinations are forgotten

Change: a binary search, as the list is sorted; a test's name and a comment on counted bytes say what is so.

--- a/crates/catalogue/src/snapshot.rs
+++ b/crates/catalogue/src/snapshot.rs
@@ -122,8 +122,8 @@
         listed.flat_map(|(number, page)| page.live().map(move |place| (number * PAGE + place) as EndpointId))
     }
 
-    /// Bytes that this snapshot holds, those that it shares with others included. Room left over by growing, which
-    /// is given back once a list is read, does not count.
+    /// Bytes that this snapshot holds, those that it shares with others included. Room left over by growing does not
+    /// count: what is kept of it once a list is read is up to a quarter of the indexes.
     pub fn heap_bytes(&self) -> usize {
         let parts = &self.parts;
         let pages: usize = parts.pages.iter().flatten().map(|page| page.heap_bytes()).sum();
--- a/src/policy/listed.rs
+++ b/src/policy/listed.rs
@@ -24,15 +24,14 @@
         let ids: Vec<DestId> = self.dests.range(next..).map(|d| *d.0).take(FORGET_AT_ONCE).collect();
         ids.iter().for_each(|&id| self.forget(id));
         self.forgetting = ids.get(FORGET_AT_ONCE - 1).and_then(|last| last.checked_add(1));
-        if self.forgetting.is_some() {
-            return;
-        }
+        let None = self.forgetting else { return };
         let (now, cold, dests) = (self.now, self.cfg.cold, &self.dests);
         let places = |id: DestId| dests.get(&id).map_or(&[][..], |dest| &dest.places);
-        self.endpoints.retain(|id, e| places(e.dest).contains(id) || e.is_needed(now, cold));
+        self.endpoints.retain(|id, e| places(e.dest).binary_search(id).is_ok() || e.is_needed(now, cold));
         self.routes.retain(|&(dest, id), r| {
             let seen = r.back_at.max(r.next_trial).max(r.wait_until);
-            let named = places(dest).contains(&id) || (id == EndpointId::MAX && !places(dest).is_empty());
+            let named = places(dest).binary_search(&id).is_ok()
+                || (id == EndpointId::MAX && !places(dest).is_empty());
             named || r.in_flight > 0 || now < seen.saturating_add(KEEP.max(cold))
         });
         self.keys.retain(|_, turn| !turn.queue.is_empty() || turn.rest_until > now);
--- a/tests/on_demand.rs
+++ b/tests/on_demand.rs
@@ -898,7 +898,7 @@
 }
 
 #[test]
-fn a_told_wait_and_an_outage_are_not_forgotten_while_the_module_is_behind() {
+fn a_told_wait_is_not_forgotten_while_the_module_is_behind() {
     let mut driver = Driver::new(Settings { slots: 200, ..settings() }, listed(100_000));
     (0..1_000).for_each(|dest| driver.call(message(dest, dest, 0), Outcome::Served));
     let sent = driver.take(message(2_000, 900, 0));
