A call that was not sent no longer ends its destination's longer backoff

Cause: for an attempt that ends as NotSent, count_outcome in src/policy/mod.rs set backoff_until to 20 ms from now, also where a refusal had set a later time.

Change: the later of the two times holds.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -779,7 +779,7 @@
             }
             Outcome::CalledOff | Outcome::Malformed => false,
             Outcome::NotSent => {
-                route.backoff_until = now + 4 * self.settings.tick;
+                route.backoff_until = route.backoff_until.max(now + 4 * self.settings.tick);
                 false
             }
         };
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -888,6 +888,27 @@
     assert!(busiest < Some(60), "{busiest:?} of them in one second");
 }
 
+/// Guards against calls to a destination that has just refused one: a call that was not sent, as its client had
+/// left, ended the backoff early.
+#[test]
+fn call_that_was_not_sent_does_not_shorten_backoff() {
+    // The least backoff after a first refusal.
+    const BACKOFF: Ns = 50 * MS;
+    let settings = Settings { rate_hints: true, ..settings() };
+    let mut harness = Harness::new(settings, &[Entry { rate_hint: 1_000.0, ..entry(1, 1, 0) }]);
+    harness.submit(message(1, 1, 1));
+    harness.end_attempt(attempt_end(1, 0, 1, Outcome::Served));
+    harness.advance(SECOND);
+    let messages = (2..4).map(|id| Event::Message(message(id, 1, 1))).collect();
+    assert_eq!(sends(&harness.handle(messages)).len(), 2);
+    let refused_at = harness.now;
+    harness.end_attempt(attempt_end(2, 0, 1, Outcome::TurnedAway));
+    harness.end_attempt(attempt_end(3, 0, 1, Outcome::NotSent));
+    let sent = harness.advance(SECOND).into_iter().find(|(_, a)| matches!(a, Action::Send { .. }));
+    let (at, _) = sent.expect("the messages are sent again");
+    assert!(at >= refused_at + BACKOFF, "sent {} ms after the refusal", (at - refused_at) / MS);
+}
+
 #[test]
 fn reduced_share_recovers_with_few_responses() {
     let large_fleet = Settings { sender_count: 100, rate_hints: true, max_open: 10_000, ..settings() };
