A message whose client left before the reply is not called

Cause: run_round in src/bin/sender/core.rs withdrew a message when the reply 202 could not be passed on, as the client's connection was gone, but then started the call that the policy had decided on in the same round. The repeated request was not recognised, as the withdrawn message was no longer held, and was called as a new one.

In the core's test the reply is held up at its sync, so that the client is sure to have left before it.

Change: replies come before calls. A message whose client has left is withdrawn, and its attempt ends as not sent, so that its slot is free again; a log line at debug level names both. So the first request of such a pair never reaches an endpoint, and the second is the only one.

--- a/src/bin/sender/core.rs
+++ b/src/bin/sender/core.rs
@@ -712,22 +712,43 @@
             }
             return;
         }
+        // The replies precede the calls: a message whose client has left without one is not sent.
         for (id, message) in submitted {
             if !message.reply(Reply::Accepted) {
-                // The client has left without the reply, and may hand the message in elsewhere.
-                self.next_events.push(Event::Withdrawn { id });
-                self.forget(id);
-                self.write_eventually(vec![Record::Ended(id)]);
+                self.withdraw(id);
             }
         }
         for (endpoint, members) in calls {
-            let cancel = Rc::new(CancellationToken::default());
-            for m in &members {
-                self.attempts_in_flight
-                    .insert((m.message.id, m.attempt), AttemptInFlight { endpoint, cancel: cancel.clone() });
-            }
-            tokio::task::spawn_local(self.client.clone().call(endpoint, members, cancel));
+            self.start_call(endpoint, members);
+        }
+    }
+
+    /// Ends a message whose client has left before the reply. The client may hand it in again, here or
+    /// elsewhere, so no call of it may be made.
+    fn withdraw(&mut self, id: u64) {
+        if let Some(held) = self.forget(id) {
+            tracing::debug!(id, trace = held.message.trace_id, "withdrawn, as its client has left");
+        }
+        self.next_events.push(Event::Withdrawn { id });
+        self.write_eventually(vec![Record::Ended(id)]);
+    }
+
+    /// Starts a call for those of its messages that are still held.
+    fn start_call(&mut self, endpoint: EndpointId, members: Vec<CallMember>) {
+        let (members, withdrawn): (Vec<_>, Vec<_>) =
+            members.into_iter().partition(|m| self.held.contains_key(&m.message.id));
+        let now = Instant::now();
+        let not_sent = withdrawn.iter().map(|m| client::member_end(m, endpoint, Outcome::NotSent, now));
+        self.next_events.extend(not_sent.map(Event::AttemptEnd));
+        if members.is_empty() {
+            return;
+        }
+        let cancel = Rc::new(CancellationToken::default());
+        for m in &members {
+            self.attempts_in_flight
+                .insert((m.message.id, m.attempt), AttemptInFlight { endpoint, cancel: cancel.clone() });
         }
+        tokio::task::spawn_local(self.client.clone().call(endpoint, members, cancel));
     }
 
     /// Takes a message that a client hands in: refuses it at once, or holds it for the policy to decide on.
--- a/src/bin/sender/core/tests.rs
+++ b/src/bin/sender/core/tests.rs
@@ -371,6 +371,37 @@
     assert!(journal.pending().values().all(|m| m.accepted.trace_id != "m1"));
 }
 
+/// Guards against a booking that runs twice: a message whose client's connection was reset before the reply
+/// was called all the same, and once more when the client sent the request again.
+#[test]
+fn message_is_not_called_if_its_client_leaves_before_the_reply() {
+    let folder = Folder::new("leaves");
+    run_on_one_thread(async {
+        let (core, syncs, calls) = start_core(&folder.0).await;
+        let (input, answer) = submission("m0");
+        core.send(input).await.unwrap();
+        assert!(matches!(answer.await, Ok(Reply::Accepted)));
+        wait_until("the message is delivered", || calls.get() == 1).await;
+        let before = syncs.count();
+        syncs.set(Gate::Closed);
+        let (input, answer) = submission("m1");
+        core.send(input).await.unwrap();
+        wait_until("the sync before the reply has begun", || syncs.count() > before).await;
+        drop(answer);
+        syncs.set(Gate::Open);
+        let (input, answer) = submission("m1");
+        core.send(input).await.unwrap();
+        assert!(matches!(answer.await, Ok(Reply::Accepted)));
+        // Calls are made in order, so any call for the first request has been made by then.
+        let (input, answer) = submission("m2");
+        core.send(input).await.unwrap();
+        assert!(matches!(answer.await, Ok(Reply::Accepted)));
+        wait_until("the messages are delivered", || calls.get() >= 3).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(calls.get(), 3, "one call for each of m0, m1 and m2");
+    });
+}
+
 #[test]
 fn endpoint_missing_from_handover_is_called_after_first_list() {
     let folder = Folder::new("partial");
