A request sent again after its message has ended gets the same end

A client that loses its answer sends the request once more under its id; by then the endpoint had served the message.

Cause: Core::submit recognised a repeated request only while its message was held (ids_by_trace). An ended message was forgotten, so the request was taken for a new message.

Why it works: the same id never becomes a new message within the time for which its client may send it again.

Two checks used one id for several messages, which the protocol rules out and a sender now answers from its memory: wait_until_settled and bytes_after_an_answer_are_not_taken_for_the_next_answer. Each message of theirs has an id of its own now; what is checked is the same.

--- a/src/bin/sender/core.rs
+++ b/src/bin/sender/core.rs
@@ -3,6 +3,7 @@
 use crate::client::{self, CallMember, EndpointClient};
 use crate::config::Config;
 use crate::directory::Directory;
+use crate::ended_messages::EndedMessages;
 use crate::first_catalogue::FirstCatalogue;
 use crate::input::{Input, MaintenanceReply, Reply};
 use crate::journal::Journal;
@@ -106,6 +107,7 @@
     held: BTreeMap<u64, HeldMessage>,
     /// The numbers of the held messages, by trace id.
     ids_by_trace: HashMap<String, u64>,
+    ended: EndedMessages,
     /// Messages whose notice has not been acknowledged.
     noticed: HashSet<u64>,
     attempts_in_flight: HashMap<(u64, u32), AttemptInFlight>,
@@ -181,6 +183,7 @@
             maintained: HashMap::new(),
             held: BTreeMap::new(),
             ids_by_trace: HashMap::new(),
+            ended: EndedMessages::default(),
             noticed: HashSet::new(),
             attempts_in_flight: HashMap::new(),
             next_events: Vec::new(),
@@ -218,6 +221,7 @@
 
     /// Continues from the state of another process. Returns None if that process had other settings.
     fn restore_handover(&mut self, state: HandoverState) -> Option<(NumberedCatalogue, HeldMessages)> {
+        self.ended = EndedMessages::restore(state.ended);
         if state.settings_json != self.settings_json {
             tracing::warn!("the settings are new: going on from the journal alone");
             return None;
@@ -453,6 +457,7 @@
                 .collect(),
             next_id: self.next_id,
             idle_bounds: self.client.stop_new_calls(),
+            ended: self.ended.into_handover(),
         };
         drop(self.journal);
         let _ = reply.send(Some(state));
@@ -671,7 +676,7 @@
             message.reply(reply);
         }
         for &(id, outcome) in &failed {
-            if let Some(held) = self.forget(id) {
+            if let Some(held) = self.end(id, Reply::to_undelivered(outcome)) {
                 records.push(Record::NoticeStarted(id, outcome));
                 undelivered.push((held.message, outcome));
             }
@@ -761,12 +766,18 @@
     ) {
         if let Some(id) = self.ids_by_trace.get(&message.trace_id) {
             // The message is held already: it was accepted before, or is handed in twice in this round.
+            tracing::debug!(id, trace = message.trace_id, "handed in again while it is held");
             match round.submitted.get_mut(id) {
                 Some(first) => first.replies.push(reply),
                 None => _ = reply.send(Reply::Accepted),
             }
             return;
         }
+        if let Some(earlier) = self.ended.reply_to(&message.trace_id, round.started_at) {
+            tracing::debug!(trace = message.trace_id, reply = ?earlier, "handed in again after its end");
+            let _ = reply.send(earlier);
+            return;
+        }
         message.id = self.next_id;
         let space = self.journal.space_for(&message, round.reserved);
         let space = space.filter(|_| self.held.len() < self.settings.max_open && self.shut_down_at.is_none());
@@ -835,8 +846,9 @@
         self.attempts_in_flight.remove(&(end.id, end.attempt));
         let left = self.held.get(&end.id)?.deadline - self.policy_time(at);
         if end.done {
-            let held = self.forget(end.id)?;
-            if end.outcome == Outcome::Served && left < LATE_ANSWER_MARGIN.as_nanos() as Ns {
+            let late = end.outcome == Outcome::Served && left < LATE_ANSWER_MARGIN.as_nanos() as Ns;
+            let held = self.end(end.id, if late { Reply::Failed } else { Reply::Accepted })?;
+            if late {
                 // If the answer was late the message still needs its notice; if it was in time a notice does
                 // no harm.
                 records.push(Record::NoticeStarted(end.id, Undelivered::GivenUp));
@@ -849,6 +861,14 @@
         None
     }
 
+    /// Removes a message that has ended from those held. `reply` is given to a client that hands it in again.
+    fn end(&mut self, id: u64, reply: Reply) -> Option<HeldMessage> {
+        let held = self.forget(id)?;
+        self.ended.record(&held.message.trace_id, reply, self.instant(held.deadline));
+        Some(held)
+    }
+
+    /// Removes a message from those held, as if it had never been handed in.
     fn forget(&mut self, id: u64) -> Option<HeldMessage> {
         let held = self.held.remove(&id)?;
         self.ids_by_trace.remove(&held.message.trace_id);
--- a/src/bin/sender/core/tests.rs
+++ b/src/bin/sender/core/tests.rs
@@ -276,6 +276,7 @@
         attempts_in_flight: Vec::new(),
         next_id: 0,
         idle_bounds: Vec::new(),
+        ended: Vec::new(),
     }
 }
 
--- a/src/bin/sender/input.rs
+++ b/src/bin/sender/input.rs
@@ -2,7 +2,7 @@
 use crate::process_state::HandoverState;
 use catalogue::intake;
 use sender::api::{AttemptEnd, EndpointId, LimitReport, Outcome};
-use sender::records::AcceptedMessage;
+use sender::records::{AcceptedMessage, Undelivered};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -19,6 +19,16 @@
     Failed,
 }
 
+impl Reply {
+    /// Returns the reply that tells a client how a message ended that was not delivered.
+    pub fn to_undelivered(undelivered: Undelivered) -> Reply {
+        match undelivered {
+            Undelivered::GivenUp => Reply::Failed,
+            Undelivered::HandedBack(retry_ms) => Reply::Refused(retry_ms.map(Duration::from_millis)),
+        }
+    }
+}
+
 /// The reply to an operator who takes an endpoint out or puts it back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MaintenanceReply {
--- a/src/bin/sender/main.rs
+++ b/src/bin/sender/main.rs
@@ -7,6 +7,7 @@
 mod core;
 mod directory;
 mod discovery;
+mod ended_messages;
 mod first_catalogue;
 mod handover;
 mod input;
--- a/src/bin/sender/process_state.rs
+++ b/src/bin/sender/process_state.rs
@@ -1,4 +1,5 @@
 //! The state that one process hands to the next in an upgrade, and what the old process keeps.
+use crate::ended_messages::EndedMessage;
 use crate::input::Input;
 use catalogue::{Catalogue, Endpoint, Lifecycle};
 use sender::api::{EndpointId, Ns};
@@ -38,6 +39,9 @@
     pub next_id: u64,
     #[serde(rename = "keeps")]
     pub idle_bounds: IdleBounds,
+    /// Messages that ended recently. An earlier process did not keep them.
+    #[serde(default)]
+    pub ended: Vec<EndedMessage>,
 }
 
 /// Maximum number of endpoints of a list that is handed over whole. A longer one would stall both processes
--- a/src/bin/sender/process_state_v1.rs
+++ b/src/bin/sender/process_state_v1.rs
@@ -78,6 +78,7 @@
             attempts_in_flight,
             next_id,
             idle_bounds: client.idle_bounds,
+            ended: Vec::new(),
         }
     }
 }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -351,14 +351,15 @@
 
 #[test]
 fn bytes_after_an_answer_are_not_taken_for_the_next_answer() {
-    let endpoint = Peer::new(|r| match r.id() {
-        "first" => Reply::Bytes("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 4".into()),
-        _ => ok(),
+    let endpoint = Peer::new(|r| match r.id().starts_with("first") {
+        true => Reply::Bytes("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 4".into()),
+        false => ok(),
     });
     let (discovery, node) = start_with_one_endpoint(&endpoint);
     for round in 0..5 {
-        assert_eq!(node.hand_in("order", "first", 7, 16_000, b"x"), 202);
-        let first = endpoint.wait_for("first", round + 1).remove(round);
+        let first = format!("first-{round}");
+        assert_eq!(node.hand_in("order", &first, 7, 16_000, b"x"), 202);
+        let first = endpoint.wait_for(&first, 1).remove(0);
         // Messages of this class are unsafe: on the same connection this one would be lost and could not be
         // repeated.
         let next = format!("next-{round}");
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -678,6 +678,8 @@
 /// Hands in a message and waits until it is delivered. By then the sender has handled all earlier
 /// inputs.
 pub fn wait_until_settled(node: &Node, endpoint: &Peer) {
-    assert_eq!(node.hand_in("alert", "settle", 7, 16_000, b"."), 202);
-    endpoint.wait_for("settle", 1);
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let id = format!("settle-{}", NEXT.fetch_add(1, Ordering::SeqCst));
+    assert_eq!(node.hand_in("alert", &id, 7, 16_000, b"."), 202);
+    endpoint.wait_for(&id, 1);
 }
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -316,6 +316,30 @@
     assert_eq!(endpoint.wait_for("m", 1).len(), 1);
 }
 
+/// Guards against a booking that runs twice: its answer was lost and the request sent again after the delivery,
+/// when the message was no longer held.
+#[test]
+fn request_sent_again_after_its_message_ended_gets_the_same_end() {
+    let endpoint = Peer::new(|r| match r.id() {
+        "lost" => Reply::Close,
+        "shut" => answer("503 Service Unavailable", "", ""),
+        _ => ok(),
+    });
+    let (discovery, node) = start_with_one_endpoint(&endpoint);
+    let hand_in_twice = |id: &str, ended: &dyn Fn()| {
+        assert_eq!(node.hand_in("order", id, 7, 1_500, b"x"), 202);
+        ended();
+        wait_until_settled(&node, &endpoint);
+        node.hand_in("order", id, 7, 1_500, b"x")
+    };
+    assert_eq!(hand_in_twice("served", &|| _ = endpoint.wait_for("served", 1)), 202);
+    assert_eq!(hand_in_twice("lost", &|| _ = discovery.wait_for_notice("lost")), 500);
+    let calls = endpoint.seen();
+    let count = |id: &str| calls.iter().filter(|r| r.id() == id).count();
+    assert_eq!((count("served"), count("lost")), (1, 1));
+    assert_eq!(hand_in_twice("shut", &|| _ = discovery.wait_for_notice("shut")), 503);
+}
+
 #[test]
 fn hands_back_and_refuses_with_retry_time_over_bound() {
     let endpoint = Peer::new(|_| Reply::Hang);
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -105,6 +105,22 @@
     assert_eq!(slow.seen().len(), 1);
 }
 
+/// Guards against a message that runs twice: its answer was lost, and the new process had not heard of it.
+#[test]
+fn request_sent_again_after_upgrade_is_not_called_again() {
+    let endpoint = Peer::new(|_| ok());
+    let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7)]));
+    let mut node = start_with_control(&discovery);
+    assert_eq!(node.hand_in("order", "m", 7, 16_000, b"x"), 202);
+    endpoint.wait_for("m", 1);
+    wait_until_settled(&node, &endpoint);
+    let mut old = node.upgrade();
+    assert_eq!(node.hand_in("order", "m", 7, 16_000, b"x"), 202);
+    wait_until_settled(&node, &endpoint);
+    assert_eq!(endpoint.wait_for("m", 1).len(), 1);
+    assert!(old.finish().success());
+}
+
 #[test]
 fn retry_after_and_calls_in_flight_bind_both_processes() {
     const WAIT: Duration = Duration::from_secs(3);
