Server: the state of a client's connection in a module of its own

Change: ConnectionState, its eviction classes and the reader that feeds it move to server/connection_state.rs, with their constants and their test. Nothing else changes.

--- /dev/null
+++ b/src/bin/sender/server/connection_state.rs
@@ -0,0 +1,140 @@
+//! The state of a client's connection: what has been read of its next request, and when it may be evicted.
+use super::MAX_HEADERS_BYTES;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, ReadBuf};
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// How long a connection must have been idle before it may be evicted for another client.
+const MIN_IDLE_BEFORE_EVICTION: Duration = Duration::from_secs(2);
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// The state of a client's connection that decides which connection is evicted when there are too many.
+pub struct ConnectionState {
+    /// When it was opened or its last answer was given.
+    pub last_used: Cell<Instant>,
+    /// When bytes were last read from it.
+    pub last_read: Cell<Instant>,
+    /// The first request, or a later one of which bytes have been read, has no answer yet.
+    pub request_started: Cell<bool>,
+    /// A request has been read in full and has no answer yet.
+    pub request_complete: Cell<bool>,
+    /// The raw headers of the next request. They are kept because hyper removes a Content-Length that it
+    /// ignores.
+    pub head: RefCell<Vec<u8>>,
+    /// Requests without an answer.
+    pub unanswered: Cell<u32>,
+    /// The next answer is sent with `Connection: close`.
+    pub closing: Cell<bool>,
+    /// The connection is in its lingering close: whatever is read is discarded.
+    pub lingering: Cell<bool>,
+    /// Its eviction class at the time when it was evicted.
+    pub evicted: Cell<Option<EvictionClass>>,
+    /// Notified when the connection is evicted.
+    pub evict: Notify,
+    /// Notified when a request has been answered.
+    pub answered: Notify,
+}
+
+impl ConnectionState {
+    pub fn new(last_used: Instant, request_started: bool) -> ConnectionState {
+        ConnectionState {
+            last_used: Cell::new(last_used),
+            last_read: Cell::new(Instant::now()),
+            request_started: Cell::new(request_started),
+            request_complete: Cell::default(),
+            head: RefCell::default(),
+            unanswered: Cell::default(),
+            closing: Cell::default(),
+            lingering: Cell::default(),
+            evicted: Cell::default(),
+            evict: Notify::new(),
+            answered: Notify::new(),
+        }
+    }
+
+    /// Appends bytes of the next request to `head`, up to the end of its headers.
+    pub fn record_head(&self, read: &[u8]) {
+        let mut head = self.head.borrow_mut();
+        if head.ends_with(HEAD_END) {
+            return;
+        }
+        let room = MAX_HEADERS_BYTES.saturating_sub(head.len());
+        head.extend_from_slice(&read[..read.len().min(room)]);
+        if let Some(end) = head.windows(HEAD_END.len()).position(|w| w == HEAD_END) {
+            head.truncate(end + HEAD_END.len());
+        }
+    }
+
+    /// Returns whether the headers are complete and contain no Content-Length.
+    pub fn lacks_content_length(&self) -> bool {
+        let head = self.head.borrow();
+        let header_name =
+            |line: &[u8]| line.split(|&b| b == b':').next().map(|n| n.trim_ascii().to_ascii_lowercase());
+        let is_length = |line: &[u8]| header_name(line).as_deref() == Some(b"content-length");
+        head.ends_with(HEAD_END) && !head.split(|&b| b == b'\n').any(is_length)
+    }
+
+    /// Returns the rank by which connections are evicted, the lowest first; None if this one may not be
+    /// evicted. Closing a lingering or idle connection costs its client nothing. After those come
+    /// connections with an incomplete request. Within a class, the one that has been silent longest comes
+    /// first.
+    pub fn eviction_rank(&self) -> Option<(EvictionClass, Instant)> {
+        if self.evicted.get().is_some() {
+            return None;
+        }
+        let class = match (self.lingering.get(), self.request_complete.get(), self.request_started.get()) {
+            (true, ..) => EvictionClass::Lingering,
+            (_, true, _) => return None,
+            (.., true) => EvictionClass::IncompleteRequest,
+            _ if self.last_used.get().elapsed() < MIN_IDLE_BEFORE_EVICTION => return None,
+            _ => EvictionClass::Idle,
+        };
+        Some((class, self.last_read.get()))
+    }
+
+    /// Returns whether all requests are answered and no byte of the next one has been read.
+    pub fn is_idle(&self) -> bool {
+        self.unanswered.get() == 0 && !self.request_started.get()
+    }
+}
+
+/// Classes of connections that may be evicted, in the order of eviction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum EvictionClass {
+    Lingering,
+    Idle,
+    IncompleteRequest,
+}
+
+/// The reading half of a connection; records in the connection's state what is read and when.
+pub struct ObservedReader {
+    pub inner: OwnedReadHalf,
+    pub state: Rc<ConnectionState>,
+}
+
+impl AsyncRead for ObservedReader {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let done = Pin::new(&mut self.inner).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.state.last_read.set(Instant::now());
+            self.state.record_head(&buf.filled()[before..]);
+            self.state.request_started.set(true);
+        }
+        done
+    }
+}
+
+#[cfg(test)]
+mod tests;
