Unfinished headers of clients and of answers stay within bounds of their own

Cause: serve in src/bin/sender/server.rs built hyper's connection without max_buf_size. hyper then buffers up to 408 KiB of a head; our bound of 8 KiB on headers is checked only once a head is complete. The same default stood on the control address and on all outgoing connections: 80 answers of 400 KiB of unfinished headers took a sender with 80 slots to 35.5 MB.

Change: max_buf_size is 16 KiB for clients (headers of 8 KiB with their separators fit), 8 KiB on the control address and 64 KiB on outgoing connections. A longer head of a client is answered 431 at once, and an answer with one is unreadable. With half of the descriptors for clients, 16 KiB each is 2.3 MB at 256 descriptors.

--- a/src/bin/sender/connection.rs
+++ b/src/bin/sender/connection.rs
@@ -22,6 +22,9 @@
 /// How long the rest of an answer may take once its outcome is known; after that the connection is closed.
 pub const ANSWER_TAIL_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Maximum size of the headers of an answer, and of what is read ahead of its body.
+const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
+
 /// The start of an answer: enough of its status line to tell whether the status is 200.
 #[derive(Default)]
 struct StatusLine {
@@ -137,7 +140,9 @@
             bytes_written: bytes_written.clone(),
             status_line: Rc::clone(&status_line),
         });
-        let handshake = http1::Builder::new().title_case_headers(true).handshake(io).await;
+        let mut builder = http1::Builder::new();
+        builder.title_case_headers(true).max_buf_size(MAX_READ_BUFFER_BYTES);
+        let handshake = builder.handshake(io).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let task = tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
--- a/src/bin/sender/control.rs
+++ b/src/bin/sender/control.rs
@@ -29,6 +29,8 @@
 const TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum size of a request's body. No request needs a body.
 const MAX_BODY_BYTES: usize = 1 << 10;
+/// Maximum size of a request line with its headers; the least that hyper allows.
+const MAX_HEAD_BYTES: usize = 8 << 10;
 
 /// An open connection.
 struct ControlConnection {
@@ -101,7 +103,8 @@
             Ok::<_, Infallible>(self.answer(request, connection).await.unwrap_or_else(|refusal| refusal))
         });
         let mut http = hyper::server::conn::http1::Builder::new();
-        if let Err(error) = http.keep_alive(false).serve_connection(TokioIo::new(stream), service).await {
+        http.keep_alive(false).max_buf_size(MAX_HEAD_BYTES);
+        if let Err(error) = http.serve_connection(TokioIo::new(stream), service).await {
             tracing::debug!(%error, "a control connection failed");
         }
     }
--- a/src/bin/sender/server.rs
+++ b/src/bin/sender/server.rs
@@ -41,6 +41,9 @@
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Maximum size of a request's headers in total. The headers of a message take a few hundred bytes.
 const MAX_HEADERS_BYTES: usize = 8 << 10;
+/// Maximum size of a request line with headers that are not complete, and of what is read ahead of a body. More
+/// than headers of `MAX_HEADERS_BYTES` take with their separators.
+const MAX_READ_BUFFER_BYTES: usize = 16 << 10;
 /// How long a connection may stay idle after a request.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
 /// Maximum length of a header value that is parsed as text.
@@ -270,7 +273,7 @@
         let (reader, writer) = stream.into_split();
         let reader = ObservedReader { inner: reader, state: state.clone() };
         let io = TokioIo::new(join(Cursor::new(buffered).chain(reader), writer));
-        let mut connection = Builder::new().serve_connection(io, service);
+        let mut connection = Builder::new().max_buf_size(MAX_READ_BUFFER_BYTES).serve_connection(io, service);
         let mut handing_over = false;
         // When closing began, after a change of the phase or an eviction.
         let mut closing_since: Option<Instant> = None;
--- /dev/null
+++ b/tests/memory.rs
@@ -0,0 +1,137 @@
+//! Tests that the sender stays below its limit of memory, whatever peers send.
+mod peers;
+use peers::*;
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread::{sleep, spawn, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// The least that a sender may be given.
+const MEMORY_MB: usize = 32;
+const DESCRIPTORS: usize = 256;
+/// Clients may hold a third of the descriptors.
+const CROWD: usize = DESCRIPTORS / 3;
+/// Time within which the sender owes an error or a close to a peer that sends no proper request.
+const ERROR_DUE: Duration = Duration::from_secs(3);
+/// How often the sender's memory is read.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(2);
+
+/// Starts a sender with little memory and one endpoint.
+fn start_with_little_memory(endpoint: &Peer) -> (Discovery, Node) {
+    let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7)]));
+    let node = Node::start_with(&discovery, json!([]), |config| {
+        config["limits"]["memory_mb"] = json!(MEMORY_MB);
+        config["limits"]["sockets"] = json!(DESCRIPTORS);
+    });
+    (discovery, node)
+}
+
+/// Connects, sends bytes and stays until the sender answers or closes. Returns the time from connecting to that.
+fn send_and_stay(sender: SocketAddr, bytes: &[u8]) -> Duration {
+    let connected = Instant::now();
+    let mut stream = TcpStream::connect(sender).unwrap();
+    stream.set_write_timeout(Some(TIMEOUT)).unwrap();
+    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+    // The sender may answer or close before it has read everything.
+    if stream.write_all(bytes).is_ok() {
+        let _ = stream.read(&mut [0; 64]);
+    }
+    connected.elapsed()
+}
+
+/// Has a crowd of peers send the same bytes at once.
+fn start_crowd(sender: SocketAddr, count: usize, bytes: &[u8]) -> Vec<JoinHandle<Duration>> {
+    let start = |_| {
+        let bytes = bytes.to_vec();
+        spawn(move || send_and_stay(sender, &bytes))
+    };
+    (0..count).map(start).collect()
+}
+
+/// Samples the memory of the sender until the crowd has gone, and returns the highest value, in kB. Messages are
+/// accepted meanwhile.
+fn peak_memory_kb(node: &Node, crowd: &[JoinHandle<Duration>]) -> usize {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let mut peak = 0;
+    let mut next_message = Instant::now();
+    while crowd.iter().any(|peer| !peer.is_finished()) {
+        peak = peak.max(node.anonymous_memory_kb());
+        if Instant::now() >= next_message {
+            next_message += Duration::from_millis(200);
+            let id = format!("sound-{}", NEXT.fetch_add(1, Ordering::SeqCst));
+            assert_eq!(node.hand_in("alert", &id, 7, 16_000, b"x"), 202);
+        }
+        sleep(SAMPLE_INTERVAL);
+    }
+    peak
+}
+
+/// Checks that the crowd was answered in time, and that memory stayed below the limit.
+fn assert_crowd_is_harmless(node: &Node, crowd: Vec<JoinHandle<Duration>>) {
+    let peak = peak_memory_kb(node, &crowd);
+    println!("highest memory of the sender's own: {peak} kB");
+    assert!(peak < MEMORY_MB * 1_000, "{peak} kB of {MEMORY_MB} MB");
+    for peer in crowd {
+        let took = peer.join().unwrap();
+        assert!(took < ERROR_DUE, "an error or a close after {took:?}");
+    }
+}
+
+/// Guards against a sender killed for its memory: the unfinished headers of 85 clients took it over 32 MB.
+#[test]
+fn unfinished_headers_stay_within_memory_limit() {
+    const HEAD_BYTES: usize = 400 << 10;
+    let endpoint = Peer::new(|_| ok());
+    let (_discovery, node) = start_with_little_memory(&endpoint);
+    let mut head = b"POST /alert HTTP/1.1\r\nHost: api.internal\r\nX-Padding: ".to_vec();
+    head.resize(HEAD_BYTES, b'a');
+    for _ in 0..2 {
+        assert_crowd_is_harmless(&node, start_crowd(node.address, CROWD, &head));
+    }
+    wait_until_settled(&node, &endpoint);
+}
+
+/// Guards against the same on the way out: the unfinished headers of many answers at once.
+#[test]
+fn unfinished_headers_of_answers_stay_within_memory_limit() {
+    const HEAD_BYTES: usize = 400 << 10;
+    // Fewer are made if the first fail before the last are due.
+    const CALLS: usize = 80;
+    const DESTINATIONS: usize = 4;
+    let head = format!("HTTP/1.1 500 Error\r\nX-Padding: {}", "a".repeat(HEAD_BYTES));
+    let endpoints: Vec<Peer> = (0..DESTINATIONS)
+        .map(|_| {
+            let head = head.clone();
+            Peer::new(move |_| Reply::Bytes(head.clone()))
+        })
+        .collect();
+    let listed: Vec<_> = (0..DESTINATIONS)
+        .map(|dest| ready(&format!("e-{dest}"), endpoints[dest].address, dest as u64))
+        .collect();
+    let discovery = Discovery::new(json!(listed));
+    let node = Node::start_with(&discovery, json!([]), |config| {
+        config["limits"]["memory_mb"] = json!(MEMORY_MB);
+        config["limits"]["sockets"] = json!(DESCRIPTORS);
+        config["settings"]["FamilyInfo"]["CallsOut"] = json!(CALLS);
+    });
+    let sender = node.address;
+    let clients: Vec<_> = (0..CALLS)
+        .map(|number| {
+            let bytes = message("order", &format!("m-{number}"), (number % DESTINATIONS) as u64, 1_500, b"x");
+            spawn(move || send_request(sender, &bytes).expect("an answer").start_line)
+        })
+        .collect();
+    let mut peak = 0;
+    // A notice may come twice.
+    node.wait_until("all messages have ended", || {
+        peak = peak.max(node.anonymous_memory_kb());
+        discovery.notices().len() >= CALLS
+    });
+    for client in clients {
+        assert!(client.join().unwrap().contains(" 202 "));
+    }
+    println!("highest memory of the sender's own: {peak} kB");
+    assert!(peak < MEMORY_MB * 1_000, "{peak} kB of {MEMORY_MB} MB");
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -640,14 +640,24 @@
 
     /// Returns the peak resident memory of the process, in kB.
     pub fn peak_resident_kb(&self) -> usize {
+        self.memory_kb("VmHWM:")
+    }
+
+    /// Returns the resident memory of the process without pages of files, such as its program, in kB.
+    pub fn anonymous_memory_kb(&self) -> usize {
+        self.memory_kb("RssAnon:")
+    }
+
+    /// Returns a figure of the process's memory by its name in `/proc/ID/status`.
+    fn memory_kb(&self, name: &str) -> usize {
         let id = self.child.as_ref().unwrap().id();
         let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap();
-        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("the status has VmHWM");
+        let line = status.lines().find_map(|l| l.strip_prefix(name)).expect("the status has the figure");
         line.trim().trim_end_matches(" kB").parse().unwrap()
     }
 
     /// Waits until a condition holds. `what` describes it in the failure message.
-    pub fn wait_until(&self, what: &str, condition: impl Fn() -> bool) {
+    pub fn wait_until(&self, what: &str, mut condition: impl FnMut() -> bool) {
         let until = Instant::now() + TIMEOUT;
         while !condition() {
             assert!(Instant::now() < until, "timed out waiting until {what}: {}", self.log());
