Bodies of requests are copied as they come and share a budget of memory

Cause: bodies were collected frame by frame (Limited::collect in answer of src/bin/sender/server.rs). A frame shares hyper's read buffer and has 32 bytes or more of its own, and there is one for each chunk. Besides, only each body by itself was bounded, not all together: a third of 1,024 descriptors times 64 KiB is 22 MB before any overhead.

Change: body.rs copies each frame into one buffer; answers that only have to be read to their end are discarded. Bodies of requests share an eighth of the memory limit from their first byte to the reply (server/request_body.rs). If that is used up, the unfinished body that has been silent longest is refused with 503, not closed without an answer: its last byte may be on its way. Complete bodies are never refused for it.

--- a/src/bin/sender/client.rs
+++ b/src/bin/sender/client.rs
@@ -3,13 +3,14 @@
 mod outcome;
 mod pool;
 
+use crate::body;
 use crate::connection::{request, Connection, ExchangeError, ANSWER_TAIL_TIMEOUT};
 use crate::directory::{Directory, Place, Route};
 use crate::input::Input;
 use crate::process_state::{CancellationToken, IdleBounds};
 use base64::Engine;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::header::CONNECTION;
 use hyper::Request;
 pub use outcome::{attempt_end, member_end};
@@ -323,7 +324,7 @@
         }
         let read_to_end = match answer.unread_body {
             Some(body) => {
-                let body = timeout(ANSWER_TAIL_TIMEOUT, Limited::new(body, MAX_BODY).collect()).await;
+                let body = timeout(ANSWER_TAIL_TIMEOUT, body::discard(body, MAX_BODY)).await;
                 matches!(body, Ok(Ok(_)))
             }
             None => true,
@@ -352,10 +353,10 @@
         }
         let (status, headers) = (head.status.as_u16(), head.headers);
         if status == 200 && is_batch {
-            let body = Limited::new(body, 4 * MAX_BODY).collect().await;
+            let body = body::read(body, 4 * MAX_BODY).await;
             let body =
                 body.map_err(|e| ExchangeError::Broken(format!("cannot read the answer of a batch: {e}")))?;
-            return Ok(Answer { status, headers, batch_body: Some(body.to_bytes()), unread_body: None });
+            return Ok(Answer { status, headers, batch_body: Some(body), unread_body: None });
         }
         Ok(Answer { status, headers, batch_body: None, unread_body: Some(body) })
     }
--- a/src/bin/sender/config.rs
+++ b/src/bin/sender/config.rs
@@ -18,6 +18,10 @@
 const DEFAULT_MEMORY_MB: f64 = 64.0;
 /// A megabyte of memory is a MiB here.
 const BYTES_PER_MB: f64 = (1 << 20) as f64;
+/// The part of the memory limit that bodies of requests may hold, as a divisor.
+const REQUEST_BODIES_SHARE: usize = 8;
+/// A few bodies of the maximum size.
+const MIN_REQUEST_BODIES_BYTES: usize = 4 * crate::client::MAX_BODY;
 /// Member of the file with the last known list of endpoints.
 const KNOWN_LIST: &str = "known";
 /// Files of at most this many bytes are read on the event loop, longer ones on another thread.
@@ -34,6 +38,18 @@
     pub memory_mb: Option<f64>,
 }
 
+impl Limits {
+    /// Returns the memory limit, or the default one, in MiB.
+    fn memory_mb(&self) -> f64 {
+        self.memory_mb.unwrap_or(DEFAULT_MEMORY_MB)
+    }
+
+    /// Returns the memory that the bodies of clients' requests may hold until they are answered, in bytes.
+    pub fn request_bodies_bytes(&self) -> usize {
+        ((self.memory_mb() * BYTES_PER_MB) as usize / REQUEST_BODIES_SHARE).max(MIN_REQUEST_BODIES_BYTES)
+    }
+}
+
 /// `catalogue` in the file: limits of the list of endpoints.
 #[derive(Deserialize, Default)]
 #[serde(deny_unknown_fields)]
@@ -238,8 +254,8 @@
     let control = env_var("EDGE_CONTROL").or(file.control);
     let sync = file.store.sync().map_err(|e| format!("{path}: {e}"))?;
     let snapshot_interval = file.store.snapshot_interval().map_err(|e| format!("{path}: {e}"))?;
-    let memory_mb = file.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
-    let catalogue_limits = file.catalogue.limits(memory_mb).map_err(|e| format!("{path}: {e}"))?;
+    let catalogue_limits =
+        file.catalogue.limits(file.limits.memory_mb()).map_err(|e| format!("{path}: {e}"))?;
     Ok(Config {
         name: shorten_name(env_var("EDGE_NAME").or(file.name).unwrap_or_default()),
         sync,
--- a/src/bin/sender/connection.rs
+++ b/src/bin/sender/connection.rs
@@ -1,7 +1,8 @@
 //! An outgoing HTTP/1.1 connection that knows whether a failed request had been written and what status line
 //! came back.
+use crate::body;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, HOST};
@@ -212,10 +213,9 @@
         max_body: usize,
     ) -> Result<(u16, HeaderMap, Bytes), ExchangeError> {
         let (head, body) = self.send(request).await?.into_parts();
-        let body =
-            Limited::new(body, max_body).collect().await.map_err(|e| ExchangeError::Broken(e.to_string()))?;
+        let body = body::read(body, max_body).await.map_err(|e| ExchangeError::Broken(e.to_string()))?;
         self.wait_until_ready().await;
-        Ok((head.status.as_u16(), head.headers, body.to_bytes()))
+        Ok((head.status.as_u16(), head.headers, body))
     }
 
     /// Waits for a short time until the connection is done with an answer whose body was read, as the next
--- a/src/bin/sender/control.rs
+++ b/src/bin/sender/control.rs
@@ -3,10 +3,11 @@
 //! It serves one request per connection, and few connections at a time. When all are in use, a new connection
 //! replaces the oldest one that has not sent its whole request, or else the oldest one, so that idle callers
 //! can't lock others out. The core decides on every reply.
+use crate::body;
 use crate::input::{Input, MaintenanceReply};
 use crate::server::{method_not_allowed, text_response};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::service::service_fn;
@@ -123,7 +124,7 @@
         }
         // The body is read to its end: closing with unread data would reset the connection and could lose the
         // reply.
-        if Limited::new(body, MAX_BODY_BYTES).collect().await.is_err() {
+        if body::discard(body, MAX_BODY_BYTES).await.is_err() {
             return Err(text_response(StatusCode::BAD_REQUEST, "the body is too long or can't be read\n"));
         }
         connection.received.set(true);
--- a/src/bin/sender/main.rs
+++ b/src/bin/sender/main.rs
@@ -1,4 +1,5 @@
 //! The sender process `cairnpulley-sender`: startup, signals and wiring.
+mod body;
 mod body_channel;
 mod client;
 mod config;
@@ -205,6 +206,7 @@
     let program_settings = config.program_settings.clone();
     let effects = settings.classes.iter().map(|c| c.effect).collect();
     let limits = config.catalogue_limits;
+    let body_budget = server::BodyBudget::new(config.limits.request_bodies_bytes());
     let client = (directory.clone(), client);
     let mut core = core::Core::new(config, journal, maintenance, client, inbox, control_inbox, notices_in);
     let (state, predecessor) = handover.unzip();
@@ -237,6 +239,7 @@
         program_settings,
         effects,
         max_connections,
+        body_budget,
         phase,
         moved_in,
     ));
--- a/src/bin/sender/server.rs
+++ b/src/bin/sender/server.rs
@@ -1,14 +1,16 @@
 //! The HTTP server for clients: accepts connections, validates requests and passes their messages to the
 //! core.
 mod connection_state;
+mod request_body;
 
+use crate::body::ReadError;
 use crate::client::MAX_BODY;
 use crate::directory::Directory;
 use crate::input::{Input, Reply};
 use crate::linger;
 use bytes::Bytes;
 use connection_state::{ConnectionState, EvictionClass, ObservedReader};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderValue, ALLOW, CONNECTION, HOST, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1::{Builder, Parts};
@@ -16,6 +18,8 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use percent_encoding::percent_decode_str;
+pub use request_body::BodyBudget;
+use request_body::RequestBodyError;
 use sender::api::Effect;
 use sender::records::{unix_time_ms, AcceptedMessage};
 use sender::settings::ProgramSettings;
@@ -84,6 +88,7 @@
     /// Maximum number of connections above `max_connections` that are answered 503; further ones wait to be
     /// accepted.
     pub max_rejected: usize,
+    body_budget: BodyBudget,
     /// Number of open connections, including those above `max_connections`.
     pub open_connections: Cell<usize>,
     /// Notified when a connection has been closed or moved.
@@ -104,6 +109,7 @@
         settings: ProgramSettings,
         effects: Vec<Effect>,
         (max_connections, max_rejected): (usize, usize),
+        body_budget: BodyBudget,
         phase: watch::Receiver<Phase>,
         handed_over: mpsc::UnboundedSender<ClientConnection>,
     ) -> Server {
@@ -115,6 +121,7 @@
             effects,
             max_connections,
             max_rejected,
+            body_budget,
             open_connections,
             connection_closed,
             phase,
@@ -395,12 +402,16 @@
         };
         let deadline = Instant::now() + time_left;
         message.deadline_ms = unix_time_ms() + time_left.as_millis() as i64;
-        message.body = match timeout_at(body_by, Limited::new(body, MAX_BODY).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => {
+        let reservation = self.body_budget.begin();
+        message.body = match timeout_at(body_by, request_body::read(body, MAX_BODY, &reservation)).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(RequestBodyError::NoMemory)) => return with_connection_close(unavailable(None)),
+            Ok(Err(RequestBodyError::Read(ReadError::TooLong))) => {
                 return text_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB")
             }
-            Ok(Err(_)) => return text_response(StatusCode::BAD_REQUEST, "the body can't be read"),
+            Ok(Err(RequestBodyError::Read(ReadError::Unreadable))) => {
+                return text_response(StatusCode::BAD_REQUEST, "the body can't be read")
+            }
             Err(_) => return text_response(StatusCode::REQUEST_TIMEOUT, "the body does not come"),
         };
         state.request_complete.set(true);
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -10,20 +10,25 @@
 
 /// The least that a sender may be given.
 const MEMORY_MB: usize = 32;
-const DESCRIPTORS: usize = 256;
-/// Clients may hold a third of the descriptors.
-const CROWD: usize = DESCRIPTORS / 3;
+const FEW_DESCRIPTORS: usize = 256;
+/// The most descriptors that a sender may be given.
+const MANY_DESCRIPTORS: usize = 1_024;
 /// Time within which the sender owes an error or a close to a peer that sends no proper request.
 const ERROR_DUE: Duration = Duration::from_secs(3);
 /// How often the sender's memory is read.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(2);
 
+/// Returns how many connections clients may hold: a third of the descriptors.
+fn crowd_size(descriptors: usize) -> usize {
+    descriptors / 3
+}
+
 /// Starts a sender with little memory and one endpoint.
-fn start_with_little_memory(endpoint: &Peer) -> (Discovery, Node) {
+fn start_with_little_memory(endpoint: &Peer, descriptors: usize) -> (Discovery, Node) {
     let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7)]));
     let node = Node::start_with(&discovery, json!([]), |config| {
         config["limits"]["memory_mb"] = json!(MEMORY_MB);
-        config["limits"]["sockets"] = json!(DESCRIPTORS);
+        config["limits"]["sockets"] = json!(descriptors);
     });
     (discovery, node)
 }
@@ -84,15 +89,43 @@
 fn unfinished_headers_stay_within_memory_limit() {
     const HEAD_BYTES: usize = 400 << 10;
     let endpoint = Peer::new(|_| ok());
-    let (_discovery, node) = start_with_little_memory(&endpoint);
+    let (_discovery, node) = start_with_little_memory(&endpoint, FEW_DESCRIPTORS);
     let mut head = b"POST /alert HTTP/1.1\r\nHost: api.internal\r\nX-Padding: ".to_vec();
     head.resize(HEAD_BYTES, b'a');
     for _ in 0..2 {
-        assert_crowd_is_harmless(&node, start_crowd(node.address, CROWD, &head));
+        assert_crowd_is_harmless(&node, start_crowd(node.address, crowd_size(FEW_DESCRIPTORS), &head));
     }
     wait_until_settled(&node, &endpoint);
 }
 
+/// A request whose body never ends, in chunks of one byte.
+fn unfinished_chunked_body(chunks: usize) -> Vec<u8> {
+    let whole = String::from_utf8(message("alert", "stranger", 7, 9_000, b"")).unwrap();
+    let head = whole.replace("Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n");
+    (head + &"1\r\nx\r\n".repeat(chunks)).into_bytes()
+}
+
+/// Guards against a sender killed for its memory: bodies in tiny chunks took many times their size.
+#[test]
+fn unfinished_bodies_in_tiny_chunks_stay_within_memory_limit() {
+    let endpoint = Peer::new(|_| ok());
+    let (_discovery, node) = start_with_little_memory(&endpoint, MANY_DESCRIPTORS);
+    let request = unfinished_chunked_body(65_000);
+    assert_crowd_is_harmless(&node, start_crowd(node.address, crowd_size(MANY_DESCRIPTORS), &request));
+    wait_until_settled(&node, &endpoint);
+}
+
+/// Guards against a sender killed for its memory: many unfinished bodies that are each within their limit.
+#[test]
+fn many_unfinished_bodies_stay_within_memory_limit() {
+    let endpoint = Peer::new(|_| ok());
+    let (_discovery, node) = start_with_little_memory(&endpoint, MANY_DESCRIPTORS);
+    let mut request = message("alert", "stranger", 7, 9_000, &[b'x'; 64 << 10]);
+    request.pop();
+    assert_crowd_is_harmless(&node, start_crowd(node.address, crowd_size(MANY_DESCRIPTORS), &request));
+    wait_until_settled(&node, &endpoint);
+}
+
 /// Guards against the same on the way out: the unfinished headers of many answers at once.
 #[test]
 fn unfinished_headers_of_answers_stay_within_memory_limit() {
@@ -113,7 +146,7 @@
     let discovery = Discovery::new(json!(listed));
     let node = Node::start_with(&discovery, json!([]), |config| {
         config["limits"]["memory_mb"] = json!(MEMORY_MB);
-        config["limits"]["sockets"] = json!(DESCRIPTORS);
+        config["limits"]["sockets"] = json!(FEW_DESCRIPTORS);
         config["settings"]["FamilyInfo"]["CallsOut"] = json!(CALLS);
     });
     let sender = node.address;
