A connection with bytes after its answer is not used for another call

Cause: hyper ends an idle connection on which it reads bytes, but it sees them only when the event loop next polls the socket. A call that waits for a free connection is written before that, and the surplus becomes its answer, its own answer that of the next call, and so on: a copied 200 stands for a call that was refused or cut off (lost), a refusal for one that ran (twice). The lines at fault: connect and exchange of src/bin/sender/client.rs relied on Connection::is_open.

Change: before the first byte of a request on a reused connection the socket itself is asked (socket2, peek); unread bytes or an end send the request to another connection. A surplus that comes after this look can't be told from the answer, so a connection is used again 5 ms after its answer at the earliest. Both hold for calls, probes, notices and discovery alike. A connection that ends for a surplus no longer counts as one that its endpoint closed while idle, which lowered the idle bound of the others.

--- a/src/bin/sender/client.rs
+++ b/src/bin/sender/client.rs
@@ -167,6 +167,7 @@
     /// Takes an idle connection from the pool, or opens a new one.
     async fn connect(&self, endpoint: EndpointId) -> Result<Connection, Outcome> {
         if let Some(connection) = self.pool.take(endpoint) {
+            connection.wait_for_reuse().await;
             return Ok(connection);
         }
         let place = self.callable_place(endpoint).filter(|_| self.pool.make_room());
@@ -287,7 +288,8 @@
                 // The pooled connection had been closed and nothing was written, so the request goes to
                 // another one.
                 Err(ExchangeError::Unsent) => {
-                    self.pool.record_idle_close(endpoint, connection.idle_before_use().unwrap_or_default());
+                    let idle = connection.idle_before_use().unwrap_or_default();
+                    self.pool.record_end(endpoint, &connection, idle);
                     drop(connection);
                 }
                 Err(error) => {
--- a/src/bin/sender/client/pool.rs
+++ b/src/bin/sender/client/pool.rs
@@ -114,7 +114,7 @@
     fn may_reuse(&self, endpoint: EndpointId, connection: &Connection, now: Instant) -> bool {
         let idle = now - connection.idle_since();
         if !connection.is_open() {
-            self.record_idle_close(endpoint, idle);
+            self.record_end(endpoint, connection, idle);
             return false;
         }
         idle < self.idle_bound(endpoint, now)
@@ -129,6 +129,16 @@
         learned.bound.mul_f64(doublings.floor().min(30.0).exp2()).min(self.max_idle)
     }
 
+    /// Records the end of a connection that had been idle for the given time. One that ended for surplus bytes
+    /// says nothing about how long others may stay idle.
+    pub fn record_end(&self, endpoint: EndpointId, connection: &Connection, idle: Duration) {
+        if connection.has_surplus() {
+            tracing::debug!(endpoint, ?idle, "a connection was closed for bytes after its last answer");
+        } else {
+            self.record_idle_close(endpoint, idle);
+        }
+    }
+
     /// Records that the endpoint, or something on the way to it, closed a connection that had been idle for
     /// the given time. The time in the settings is only an upper bound, and a call that is written after such
     /// a close is lost, so further connections may stay idle for half as long.
--- a/src/bin/sender/connection.rs
+++ b/src/bin/sender/connection.rs
@@ -8,8 +8,10 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, HOST};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::io;
+use std::io::{self, ErrorKind};
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -18,11 +20,14 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-use tokio::time::{timeout, Instant};
+use tokio::time::{sleep_until, timeout, Instant};
 
 /// How long the rest of an answer may take once its outcome is known; after that the connection is closed.
 pub const ANSWER_TAIL_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// How long after an answer a connection is used again at the earliest. Bytes that the peer sends right behind the
+/// answer have come by then.
+const REUSE_PAUSE: Duration = Duration::from_millis(5);
 /// Maximum size of the headers of an answer, and of what is read ahead of its body.
 const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
 
@@ -56,10 +61,26 @@
 
 /// A stream that counts the bytes written and keeps the status line read. hyper tells neither whether a
 /// failed request had been written nor the status line of an answer that it can't parse.
+///
+/// Before the first byte of a request on a reused connection it looks for bytes that have come since the last
+/// answer: hyper learns of them only when the event loop next polls the socket, and would take them for the
+/// answer to this request.
 struct ObservedStream {
     stream: TcpStream,
-    bytes_written: Rc<Cell<u64>>,
-    status_line: Rc<RefCell<StatusLine>>,
+    observed: Rc<Observed>,
+}
+
+/// What a connection and its stream tell each other.
+#[derive(Default)]
+struct Observed {
+    bytes_written: Cell<u64>,
+    status_line: RefCell<StatusLine>,
+    /// The next bytes to be written begin a request on a reused connection.
+    reuse_begins: Cell<bool>,
+    /// The last answer has been read to its end, and no request has been sent since.
+    idle: Cell<bool>,
+    /// Bytes have come while the connection was idle.
+    has_surplus: Cell<bool>,
 }
 
 impl AsyncRead for ObservedStream {
@@ -70,16 +91,24 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let done = Pin::new(&mut self.stream).poll_read(cx, buf);
-        self.status_line.borrow_mut().push(&buf.filled()[before..]);
+        let read = &buf.filled()[before..];
+        self.observed.status_line.borrow_mut().push(read);
+        if self.observed.idle.get() && !read.is_empty() {
+            self.observed.has_surplus.set(true);
+        }
         done
     }
 }
 
 impl AsyncWrite for ObservedStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        if self.observed.reuse_begins.get() {
+            self.check_idle()?;
+            self.observed.reuse_begins.set(false);
+        }
         let done = Pin::new(&mut self.stream).poll_write(cx, buf);
         if let Poll::Ready(Ok(n)) = done {
-            self.bytes_written.set(self.bytes_written.get() + n as u64);
+            self.observed.bytes_written.set(self.observed.bytes_written.get() + n as u64);
         }
         done
     }
@@ -91,9 +120,25 @@
     }
 }
 
+impl ObservedStream {
+    /// Checks that the connection is open and has nothing to read. Asks the system, as the event loop may not
+    /// have seen the last bytes yet.
+    fn check_idle(&self) -> io::Result<()> {
+        match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => Ok(()),
+            Err(error) => Err(error),
+            Ok(0) => Err(io::Error::new(ErrorKind::UnexpectedEof, "the peer has closed the idle connection")),
+            Ok(_) => {
+                self.observed.has_surplus.set(true);
+                Err(io::Error::new(ErrorKind::InvalidData, "bytes came after the last answer"))
+            }
+        }
+    }
+}
+
 /// Why a request got no answer.
 pub enum ExchangeError {
-    /// The connection had been closed before: hyper returned the request unsent.
+    /// The reused connection could not be used any more, and nothing of the request was written.
     Unsent,
     /// The connection failed before any byte of the request was written.
     NotWritten(String),
@@ -114,8 +159,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
-    bytes_written: Rc<Cell<u64>>,
-    status_line: Rc<RefCell<StatusLine>>,
+    observed: Rc<Observed>,
     address: SocketAddr,
     idle_since: Instant,
     /// How long the connection had been idle before its present use; None on a new connection.
@@ -134,13 +178,8 @@
     pub async fn open(address: SocketAddr, connect_timeout: Duration) -> io::Result<Connection> {
         let stream = timeout(connect_timeout, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
-        let bytes_written = Rc::new(Cell::new(0));
-        let status_line = Rc::new(RefCell::default());
-        let io = TokioIo::new(ObservedStream {
-            stream,
-            bytes_written: bytes_written.clone(),
-            status_line: Rc::clone(&status_line),
-        });
+        let observed = Rc::<Observed>::default();
+        let io = TokioIo::new(ObservedStream { stream, observed: observed.clone() });
         let mut builder = http1::Builder::new();
         builder.title_case_headers(true).max_buf_size(MAX_READ_BUFFER_BYTES);
         let handshake = builder.handshake(io).await;
@@ -153,8 +192,7 @@
         Ok(Connection {
             sender,
             task,
-            bytes_written,
-            status_line,
+            observed,
             address,
             idle_since: Instant::now(),
             idle_before_use: None,
@@ -171,6 +209,7 @@
         match kept.take().filter(Connection::is_open) {
             Some(mut connection) => {
                 connection.mark_in_use(Instant::now());
+                connection.wait_for_reuse().await;
                 Ok(connection)
             }
             None => Connection::open(address, connect_timeout).await,
@@ -195,11 +234,16 @@
 
     /// Sends a request and waits for the headers of its answer; the body is still to be read.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, ExchangeError> {
-        let written_before = self.bytes_written.get();
-        self.status_line.take();
-        self.sender.try_send_request(request).await.map_err(|mut e| match e.take_message() {
+        let written_before = self.observed.bytes_written.get();
+        self.observed.status_line.take();
+        self.observed.idle.set(false);
+        self.observed.reuse_begins.set(self.is_reused());
+        let sent = self.sender.try_send_request(request).await;
+        let refused = self.observed.reuse_begins.take();
+        sent.map_err(|mut e| match e.take_message() {
             Some(_) => ExchangeError::Unsent,
-            None if self.bytes_written.get() == written_before => {
+            None if refused => ExchangeError::Unsent,
+            None if self.observed.bytes_written.get() == written_before => {
                 ExchangeError::NotWritten(e.into_error().to_string())
             }
             None => ExchangeError::Broken(e.into_error().to_string()),
@@ -221,7 +265,15 @@
     /// Waits for a short time until the connection is done with an answer whose body was read, as the next
     /// request could otherwise find it busy. Returns false if it does not become ready.
     pub async fn wait_until_ready(&mut self) -> bool {
-        matches!(timeout(ANSWER_TAIL_TIMEOUT, self.sender.ready()).await, Ok(Ok(())))
+        let ready = timeout(ANSWER_TAIL_TIMEOUT, self.sender.ready()).await;
+        self.mark_idle();
+        self.observed.idle.set(true);
+        matches!(ready, Ok(Ok(())))
+    }
+
+    /// Waits until the connection may be used again after its last answer.
+    pub async fn wait_for_reuse(&self) {
+        sleep_until(self.idle_since + REUSE_PAUSE).await;
     }
 
     /// Returns the address to which the connection was opened.
@@ -254,9 +306,14 @@
         self.idle_before_use
     }
 
+    /// Returns whether bytes came after the last answer, which belong to no request.
+    pub fn has_surplus(&self) -> bool {
+        self.observed.has_surplus.get()
+    }
+
     /// Returns whether the answer's status line says 200, even if the rest of the answer can't be parsed.
     pub fn received_200(&self) -> bool {
-        self.status_line.borrow().is_200()
+        self.observed.status_line.borrow().is_200()
     }
 }
 
