A later request that stops within its headers is closed within 3 s

Cause: serve in src/bin/sender/server.rs chose the deadline of a connection by its last answer alone (IDLE_TIMEOUT), whether or not bytes of the next request had been read.

Change: the connection's state keeps when a request began, and wakes the connection's task then: 2.5 s from the first byte.

Open: where the half head comes in one segment with the request before it, hyper holds it unseen and the connection is still closed after 75 s only.

--- a/src/bin/sender/server.rs
+++ b/src/bin/sender/server.rs
@@ -37,8 +37,8 @@
 use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
-/// How long a connection may take from its opening to the end of its first request, from the headers to the
-/// end of the body of a later request, and to complete a request's headers once closing has begun.
+/// How long a connection may take from its opening to the end of its first request, from the first byte of a
+/// later request to the end of its headers, from there to the end of its body, and to complete a request's headers once closing has begun.
 /// Clients with malformed or incomplete requests must get an error or a close within 3 s.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How long accepting pauses after it has failed.
@@ -267,7 +267,7 @@
                 }
                 state.unanswered.set(state.unanswered.get() - 1);
                 state.request_complete.set(false);
-                state.request_started.set(false);
+                state.request_started.set(None);
                 // Taken rather than cleared, to free the buffer: there may be as many idle connections as the
                 // limit.
                 state.head.take();
@@ -309,13 +309,17 @@
             let deadline = match closing_since {
                 _ if !had_request.get() => state.last_used.get() + REQUEST_TIMEOUT,
                 Some(since) => since + REQUEST_TIMEOUT,
-                None => state.last_used.get() + IDLE_TIMEOUT,
+                None => match state.request_started.get() {
+                    Some(since) => since + REQUEST_TIMEOUT,
+                    None => state.last_used.get() + IDLE_TIMEOUT,
+                },
             };
             tokio::select! {
                 // The connection is polled first, so that an answer is written before it is moved or closed.
                 biased;
                 _ = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break,
                 () = state.answered.notified() => {}
+                () = state.request_begun.notified() => {}
                 changed = phase.wait_for(|p| *p != Phase::Serving),
                     if closing_since.is_none() && !handing_over =>
                 {
--- a/src/bin/sender/server/connection_state.rs
+++ b/src/bin/sender/server/connection_state.rs
@@ -21,8 +21,8 @@
     pub last_used: Cell<Instant>,
     /// When bytes were last read from it.
     pub last_read: Cell<Instant>,
-    /// The first request, or a later one of which bytes have been read, has no answer yet.
-    pub request_started: Cell<bool>,
+    /// When the first request, or a later one of which bytes have been read, began. None once it is answered.
+    pub request_started: Cell<Option<Instant>>,
     /// A request has been read in full and has no answer yet.
     pub request_complete: Cell<bool>,
     /// The raw headers of the next request. They are kept because hyper removes a Content-Length that it
@@ -38,6 +38,8 @@
     pub evicted: Cell<Option<EvictionClass>>,
     /// Notified when the connection is evicted.
     pub evict: Notify,
+    /// Notified when the first byte of a later request has been read.
+    pub request_begun: Notify,
     /// Notified when a request has been answered.
     pub answered: Notify,
 }
@@ -47,7 +49,7 @@
         ConnectionState {
             last_used: Cell::new(last_used),
             last_read: Cell::new(Instant::now()),
-            request_started: Cell::new(request_started),
+            request_started: Cell::new(request_started.then(Instant::now)),
             request_complete: Cell::default(),
             head: RefCell::default(),
             unanswered: Cell::default(),
@@ -55,6 +57,7 @@
             lingering: Cell::default(),
             evicted: Cell::default(),
             evict: Notify::new(),
+            request_begun: Notify::new(),
             answered: Notify::new(),
         }
     }
@@ -89,19 +92,20 @@
         if self.evicted.get().is_some() {
             return None;
         }
-        let class = match (self.lingering.get(), self.request_complete.get(), self.request_started.get()) {
-            (true, ..) => EvictionClass::Lingering,
-            (_, true, _) => return None,
-            (.., true) => EvictionClass::IncompleteRequest,
-            _ if self.last_used.get().elapsed() < MIN_IDLE_BEFORE_EVICTION => return None,
-            _ => EvictionClass::Idle,
-        };
+        let class =
+            match (self.lingering.get(), self.request_complete.get(), self.request_started.get().is_some()) {
+                (true, ..) => EvictionClass::Lingering,
+                (_, true, _) => return None,
+                (.., true) => EvictionClass::IncompleteRequest,
+                _ if self.last_used.get().elapsed() < MIN_IDLE_BEFORE_EVICTION => return None,
+                _ => EvictionClass::Idle,
+            };
         Some((class, self.last_read.get()))
     }
 
     /// Returns whether all requests are answered and no byte of the next one has been read.
     pub fn is_idle(&self) -> bool {
-        self.unanswered.get() == 0 && !self.request_started.get()
+        self.unanswered.get() == 0 && self.request_started.get().is_none()
     }
 }
 
@@ -130,7 +134,10 @@
         if buf.filled().len() > before {
             self.state.last_read.set(Instant::now());
             self.state.record_head(&buf.filled()[before..]);
-            self.state.request_started.set(true);
+            if self.state.request_started.get().is_none() {
+                self.state.request_started.set(Some(Instant::now()));
+                self.state.request_begun.notify_one();
+            }
         }
         done
     }
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// An endpoint that answers its first call with `first` and all others with 200.
 fn first_then_ok(first: impl Fn() -> Reply + Send + Sync + 'static) -> Peer {
@@ -803,6 +803,26 @@
     assert_eq!(endpoint.seen().len(), 1, "none of the incomplete messages is accepted");
 }
 
+/// Guards against connections held for the idle timeout: a later request that stopped within its headers got
+/// neither an error nor a close.
+#[test]
+fn later_request_that_stops_in_its_headers_is_closed_in_time() {
+    let endpoint = Peer::new(|_| ok());
+    let (_discovery, node) = start_with_one_endpoint(&endpoint);
+    let mut client = TcpStream::connect(node.address).unwrap();
+    client.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    let mut reader = BufReader::new(client.try_clone().unwrap());
+    client.write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+    assert!(read_message(&mut reader, 0).unwrap().start_line.contains(" 200 "));
+    let begun = Instant::now();
+    client.write_all(b"POST /alert HTTP/1.1\r\nHost: x\r\nX-Trace").unwrap();
+    let mut rest = Vec::new();
+    reader.read_to_end(&mut rest).expect("closed in time");
+    assert!(rest.is_empty(), "{}", String::from_utf8_lossy(&rest));
+    assert!(begun.elapsed() < Duration::from_secs(3), "closed after {:?}", begun.elapsed());
+    wait_until_settled(&node, &endpoint);
+}
+
 #[test]
 fn request_with_two_lengths_is_not_read_as_two_requests() {
     let endpoint = Peer::new(|_| ok());
