Core: preparing an attempt is a step of its own

Need: run_round in src/bin/sender/core.rs was the longest function of the program.

Change: what it does for an attempt that the policy has decided on moves to prepare_attempt; the times of a round get a type. Behaviour is unchanged.

--- a/src/bin/sender/core.rs
+++ b/src/bin/sender/core.rs
@@ -78,6 +78,13 @@
     reserved: u64,
 }
 
+/// The time at which a round began, on the clocks that its records and calls use.
+struct RoundTime {
+    started_at: Instant,
+    policy_time: Ns,
+    unix_ms: i64,
+}
+
 /// The event loop of a sender.
 pub struct Core<F: FileSystem = Disk> {
     policy: Sender,
@@ -546,7 +553,8 @@
     /// actions.
     async fn run_round(&mut self, inputs: Vec<Input>, events: Vec<Event>) {
         let started_at = Instant::now();
-        let (now, unix_ms) = (self.policy_time(started_at), unix_time_ms());
+        let now = self.policy_time(started_at);
+        let time = RoundTime { started_at, policy_time: now, unix_ms: unix_time_ms() };
         let (mut records, mut undelivered) = (Vec::new(), Vec::new());
         let mut round = Round { started_at, events, submitted: BTreeMap::new(), reserved: 0 };
         self.on_demand.tell_pending(&self.policy, &*self.directory, MAX_DESTINATIONS_TOLD, &mut round.events);
@@ -600,42 +608,11 @@
         for action in actions {
             match action {
                 Action::Send { id, endpoint, limit, by } => {
-                    let Some(held) = self.held.get_mut(&id) else { continue };
-                    let attempt = held.attempts;
-                    held.attempts += 1;
-                    let name = self.directory.catalogue().get(endpoint).map(|e| e.name.to_string());
-                    let Some(name) = name else {
-                        // The endpoint has left the list in this round.
-                        let end = client::attempt_end(id, attempt, endpoint, Outcome::NotSent, started_at);
-                        self.next_events.push(Event::AttemptEnd(end));
+                    let Some((record, member)) = self.prepare_attempt(id, endpoint, (limit, by), &time)
+                    else {
                         continue;
                     };
-                    let (message, deadline) = (held.message.clone(), held.deadline);
-                    tracing::debug!(
-                        id,
-                        attempt,
-                        endpoint,
-                        name,
-                        dest = message.dest,
-                        limit = limit / MS,
-                        "send"
-                    );
-                    let record = StartedAttempt {
-                        number: attempt,
-                        started_at_ms: unix_ms,
-                        endpoint: name,
-                        never_ran: false,
-                    };
-                    started.push(Record::AttemptStarted(id, record));
-                    let limit = if limit > 0 { (now + limit).min(deadline) } else { deadline };
-                    let (end, limit, by) = (self.instant(deadline), self.instant(limit), self.instant(by));
-                    let member = CallMember {
-                        attempt,
-                        message,
-                        deadline: end,
-                        attempt_deadline: limit,
-                        send_before: by,
-                    };
+                    started.push(record);
                     // Grouped as the policy counts calls: the attempts of one round at one endpoint share
                     // calls of up to `batch` messages.
                     let batch = self.directory.max_batch(endpoint);
@@ -728,6 +705,40 @@
         }
     }
 
+    /// Prepares an attempt that the policy has decided on: the record of its start, and the message's part in the
+    /// call. `limit` and `by` are those of [`Action::Send`]. Returns None if the attempt can't be made.
+    fn prepare_attempt(
+        &mut self,
+        id: u64,
+        endpoint: EndpointId,
+        (limit, by): (Ns, Ns),
+        time: &RoundTime,
+    ) -> Option<(Record, CallMember)> {
+        let held = self.held.get_mut(&id)?;
+        let attempt = held.attempts;
+        held.attempts += 1;
+        let name = self.directory.catalogue().get(endpoint).map(|e| e.name.to_string());
+        let Some(name) = name else {
+            // The endpoint has left the list in this round.
+            let end = client::attempt_end(id, attempt, endpoint, Outcome::NotSent, time.started_at);
+            self.next_events.push(Event::AttemptEnd(end));
+            return None;
+        };
+        let (message, deadline) = (held.message.clone(), held.deadline);
+        tracing::debug!(id, attempt, endpoint, name, dest = message.dest, limit = limit / MS, "send");
+        let record =
+            StartedAttempt { number: attempt, started_at_ms: time.unix_ms, endpoint: name, never_ran: false };
+        let attempt_deadline = if limit > 0 { (time.policy_time + limit).min(deadline) } else { deadline };
+        let member = CallMember {
+            attempt,
+            message,
+            deadline: self.instant(deadline),
+            attempt_deadline: self.instant(attempt_deadline),
+            send_before: self.instant(by),
+        };
+        Some((Record::AttemptStarted(id, record), member))
+    }
+
     /// Ends a message whose client has left before the reply. The client may hand it in again, here or
     /// elsewhere, so no call of it may be made.
     fn withdraw(&mut self, id: u64) {
