--- a/src/bin/sender/server/connection_state.rs
+++ b/src/bin/sender/server/connection_state.rs
@@ -68,9 +68,6 @@
         if head.ends_with(HEAD_END) {
             return;
         }
-        // Empty lines before a request belong to none: hyper skips them.
-        let blank = if head.is_empty() { read.iter().take_while(|b| b"\r\n".contains(b)).count() } else { 0 };
-        let read = &read[blank..];
         let room = MAX_HEADERS_BYTES.saturating_sub(head.len());
         head.extend_from_slice(&read[..read.len().min(room)]);
         if let Some(end) = head.windows(HEAD_END.len()).position(|w| w == HEAD_END) {
@@ -78,16 +75,13 @@
         }
     }
 
-    /// Returns whether the headers are known in full, from the request line on, and contain no Content-Length. The
-    /// beginning of a head that came in one read with the request before it is not known.
+    /// Returns whether the headers are complete and contain no Content-Length.
     pub fn lacks_content_length(&self) -> bool {
         let head = self.head.borrow();
         let header_name =
             |line: &[u8]| line.split(|&b| b == b':').next().map(|n| n.trim_ascii().to_ascii_lowercase());
         let is_length = |line: &[u8]| header_name(line).as_deref() == Some(b"content-length");
-        starts_with_request_line(&head)
-            && head.ends_with(HEAD_END)
-            && !head.split(|&b| b == b'\n').any(is_length)
+        head.ends_with(HEAD_END) && !head.split(|&b| b == b'\n').any(is_length)
     }
 
     /// Returns the rank by which connections are evicted, the lowest first; None if this one may not be
@@ -115,15 +109,6 @@
     }
 }
 
-/// Returns whether the first line has the form of a request line, and not that of a header.
-fn starts_with_request_line(head: &[u8]) -> bool {
-    let line = head.split(|&b| b == b'\n').next().unwrap_or_default().trim_ascii_end();
-    let mut words = line.split(|&b| b == b' ');
-    let (method, target, version) = (words.next(), words.next(), words.next());
-    let is_method = method.is_some_and(|m| !m.is_empty() && !m.contains(&b':'));
-    is_method && target.is_some() && version.is_some_and(|v| v.starts_with(b"HTTP/"))
-}
-
 /// Classes of connections that may be evicted, in the order of eviction.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum EvictionClass {
