A request sent again after a late delivery gets 202

Need: a message that was delivered less than 400 ms before its deadline, or after it, has a notice as well. A request that came again for it was answered 500, although the delivery may count; with short deadlines that is every delivery. 202 is safe: the notice has gone out in case the delivery was too late.

Change: end_attempt in src/bin/sender/core.rs records 202 for every message that is done.

--- a/src/bin/sender/core.rs
+++ b/src/bin/sender/core.rs
@@ -705,8 +705,8 @@
         }
     }
 
-    /// Prepares an attempt that the policy has decided on: the record of its start, and the message's part in the
-    /// call. `limit` and `by` are those of [`Action::Send`]. Returns None if the attempt can't be made.
+    /// Prepares an attempt that the policy has decided on: the record of its start, and the message's part in
+    /// the call. `limit` and `by` are those of [`Action::Send`]. Returns None if the attempt can't be made.
     fn prepare_attempt(
         &mut self,
         id: u64,
@@ -857,9 +857,8 @@
         self.attempts_in_flight.remove(&(end.id, end.attempt));
         let left = self.held.get(&end.id)?.deadline - self.policy_time(at);
         if end.done {
-            let late = end.outcome == Outcome::Served && left < LATE_ANSWER_MARGIN.as_nanos() as Ns;
-            let held = self.end(end.id, if late { Reply::Failed } else { Reply::Accepted })?;
-            if late {
+            let held = self.end(end.id, Reply::Accepted)?;
+            if end.outcome == Outcome::Served && left < LATE_ANSWER_MARGIN.as_nanos() as Ns {
                 // If the answer was late the message still needs its notice; if it was in time a notice does
                 // no harm.
                 records.push(Record::NoticeStarted(end.id, Undelivered::GivenUp));
