--- a/src/bin/sender/client/pool.rs
+++ b/src/bin/sender/client/pool.rs
@@ -129,8 +129,8 @@
         learned.bound.mul_f64(doublings.floor().min(30.0).exp2()).min(self.max_idle)
     }
 
-    /// Records the end of a connection that had been idle for the given time. One that ended for surplus bytes
-    /// says nothing about how long others may stay idle.
+    /// Records the end of a connection that had been idle for the given time. One that ended for surplus
+    /// bytes says nothing about how long others may stay idle.
     pub fn record_end(&self, endpoint: EndpointId, connection: &Connection, idle: Duration) {
         if connection.has_surplus() {
             tracing::debug!(endpoint, ?idle, "a connection was closed for bytes after its last answer");
--- a/src/bin/sender/connection.rs
+++ b/src/bin/sender/connection.rs
@@ -25,8 +25,8 @@
 /// How long the rest of an answer may take once its outcome is known; after that the connection is closed.
 pub const ANSWER_TAIL_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// How long after an answer a connection is used again at the earliest. Bytes that the peer sends right behind the
-/// answer have come by then.
+/// How long after an answer a connection is used again at the earliest. Bytes that the peer sends right
+/// behind the answer have come by then.
 const REUSE_PAUSE: Duration = Duration::from_millis(5);
 /// Maximum size of the headers of an answer, and of what is read ahead of its body.
 const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
--- a/src/bin/sender/server.rs
+++ b/src/bin/sender/server.rs
@@ -38,15 +38,16 @@
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
 /// How long a connection may take from its opening to the end of its first request, from the first byte of a
-/// later request to the end of its headers, from there to the end of its body, and to complete a request's headers once closing has begun.
+/// later request to the end of its headers, from there to the end of its body, and to complete a request's
+/// headers once closing has begun.
 /// Clients with malformed or incomplete requests must get an error or a close within 3 s.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How long accepting pauses after it has failed.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Maximum size of a request's headers in total. The headers of a message take a few hundred bytes.
 const MAX_HEADERS_BYTES: usize = 8 << 10;
-/// Maximum size of a request line with headers that are not complete, and of what is read ahead of a body. More
-/// than headers of `MAX_HEADERS_BYTES` take with their separators.
+/// Maximum size of a request line with headers that are not complete, and of what is read ahead of a body.
+/// More than headers of `MAX_HEADERS_BYTES` take with their separators.
 const MAX_READ_BUFFER_BYTES: usize = 16 << 10;
 /// How long a connection may stay idle after a request.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
--- a/src/bin/sender/server/request_body.rs
+++ b/src/bin/sender/server/request_body.rs
@@ -1,8 +1,8 @@
 //! Reads the bodies of clients' requests within a budget of memory that they share.
 //!
-//! Every body is bounded by itself, but a client that sends most of one and then stays silent holds its memory
-//! until a timeout, and there may be as many such clients as connections. So when the budget is used up, the
-//! unfinished body that has been silent longest is dropped and its request refused.
+//! Every body is bounded by itself, but a client that sends most of one and then stays silent holds its
+//! memory until a timeout, and there may be as many such clients as connections. So when the budget is used
+//! up, the unfinished body that has been silent longest is dropped and its request refused.
 use crate::body::{next_data, ReadError};
 use bytes::Bytes;
 use hyper::body::Incoming;
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -33,7 +33,8 @@
     (discovery, node)
 }
 
-/// Connects, sends bytes and stays until the sender answers or closes. Returns the time from connecting to that.
+/// Connects, sends bytes and stays until the sender answers or closes. Returns the time from connecting to
+/// that.
 fn send_and_stay(sender: SocketAddr, bytes: &[u8]) -> Duration {
     let connected = Instant::now();
     let mut stream = TcpStream::connect(sender).unwrap();
@@ -55,8 +56,8 @@
     (0..count).map(start).collect()
 }
 
-/// Samples the memory of the sender until the crowd has gone, and returns the highest value, in kB. Messages are
-/// accepted meanwhile.
+/// Samples the memory of the sender until the crowd has gone, and returns the highest value, in kB. Messages
+/// are accepted meanwhile.
 fn peak_memory_kb(node: &Node, crowd: &[JoinHandle<Duration>]) -> usize {
     static NEXT: AtomicUsize = AtomicUsize::new(0);
     let mut peak = 0;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -888,8 +888,8 @@
     assert!(busiest < Some(60), "{busiest:?} of them in one second");
 }
 
-/// Guards against calls to a destination that has just refused one: a call that was not sent, as its client had
-/// left, ended the backoff early.
+/// Guards against calls to a destination that has just refused one: a call that was not sent, as its client
+/// had left, ended the backoff early.
 #[test]
 fn call_that_was_not_sent_does_not_shorten_backoff() {
     // The least backoff after a first refusal.
--- a/tests/surplus.rs
+++ b/tests/surplus.rs
@@ -1,5 +1,5 @@
-//! Plays clients against endpoints some of whose answers bring more than belongs to them: a second copy or noise
-//! straight after a good answer, when no other request waits on the connection.
+//! Plays clients against endpoints some of whose answers bring more than belongs to them: a second copy or
+//! noise straight after a good answer, when no other request waits on the connection.
 mod peers;
 use fastrand::Rng;
 use peers::*;
@@ -21,8 +21,8 @@
 const TIME_LEFT_MS: u64 = 4_000;
 /// How long an endpoint works on a message, in ms.
 const WORK_MS: std::ops::Range<u64> = 20..60;
-/// Slots of the sender: few enough that messages wait for a call to end, so that connections are used again at
-/// once.
+/// Slots of the sender: few enough that messages wait for a call to end, so that connections are used again
+/// at once.
 const SLOTS: u64 = 4;
 
 const GOOD: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
@@ -177,8 +177,8 @@
     accepted
 }
 
-/// Guards against lost messages and bookings that run twice: bytes that came after a good answer were taken for
-/// the answer to the next call on the connection.
+/// Guards against lost messages and bookings that run twice: bytes that came after a good answer were taken
+/// for the answer to the next call on the connection.
 #[test]
 fn surplus_after_good_answers_ends_connection_and_loses_no_message() {
     let record = Arc::new(Record::default());
@@ -201,8 +201,8 @@
     let twice = record.messages_run_twice();
     let after_surplus = record.calls_after_surplus.lock().unwrap().clone();
     println!(
-        "{} accepted, {} delivered, {} notices, {} surpluses; lost: {lost:?}; run twice: {twice:?}; calls after a \
-         surplus: {} {after_surplus:?}",
+        "{} accepted, {} delivered, {} notices, {} surpluses; lost: {lost:?}; run twice: {twice:?}; \
+         calls after a surplus: {} {after_surplus:?}",
         accepted.len(),
         delivered.len(),
         noticed.len(),
@@ -213,8 +213,8 @@
     assert_eq!((lost.len(), twice.len(), after_surplus.len()), (0, 0, 0));
 }
 
-/// Guards against needless new connections: a surplus was taken for the endpoint's close of an idle connection, and
-/// others were closed after a short idle time from then on.
+/// Guards against needless new connections: a surplus was taken for the endpoint's close of an idle
+/// connection, and others were closed after a short idle time from then on.
 #[test]
 fn surplus_does_not_shorten_idle_time_of_other_connections() {
     let calls = Arc::new(Mutex::new(Vec::new()));
