Tests of memory: one fails without its mend now, and time counts from the connection

Need: unfinished_bodies_in_tiny_chunks_stay_within_memory_limit passed on the program before its mend too (21,184 kB of 32 MB: the debug build reads too slowly to reach the limit), so it guarded nothing. And many_unfinished_bodies_stay_within_memory_limit failed in 3 of 17 runs: "an error or a close after 3.5 s".

Cause of the second, traced: up to nine of the 341 connections that come at once were made by the system only at its second try, after 1.02 to 1.04 s (ListenOverflows counts them), and then closed 2.5 s later. The 3 s run from connecting.

Change: the first is replaced by unfinished_bodies_in_tiny_chunks_stay_within_memory_of_bodies, which is stricter: its bound is the eighth of the limit that bodies may hold, 4 MB, over the idle sender, in place of 32 MB. The time of all peers counts from the made connection; the bound stays 3 s.

With the time from the made connection no run of twelve failed, one of them with such connections.

--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -33,11 +33,11 @@
     (discovery, node)
 }
 
-/// Connects, sends bytes and stays until the sender answers or closes. Returns the time from connecting to
-/// that.
+/// Connects, sends bytes and stays until the sender answers or closes. Returns the time from the connection to
+/// that. A connection that the system makes only at its second try, as many come at once, counts from then.
 fn send_and_stay(sender: SocketAddr, bytes: &[u8]) -> Duration {
-    let connected = Instant::now();
     let mut stream = TcpStream::connect(sender).unwrap();
+    let connected = Instant::now();
     stream.set_write_timeout(Some(TIMEOUT)).unwrap();
     stream.set_read_timeout(Some(TIMEOUT)).unwrap();
     // The sender may answer or close before it has read everything.
@@ -108,12 +108,22 @@
 
 /// Guards against a sender killed for its memory: bodies in tiny chunks took many times their size.
 #[test]
-fn unfinished_bodies_in_tiny_chunks_stay_within_memory_limit() {
+fn unfinished_bodies_in_tiny_chunks_stay_within_memory_of_bodies() {
+    // Together 1.3 MB, and the sender may give an eighth of its memory to bodies.
+    const CLIENTS: usize = 20;
+    const MAX_KB: usize = MEMORY_MB * 1_000 / 8;
     let endpoint = Peer::new(|_| ok());
-    let (_discovery, node) = start_with_little_memory(&endpoint, MANY_DESCRIPTORS);
-    let request = unfinished_chunked_body(65_000);
-    assert_crowd_is_harmless(&node, start_crowd(node.address, crowd_size(MANY_DESCRIPTORS), &request));
+    let (_discovery, node) = start_with_little_memory(&endpoint, FEW_DESCRIPTORS);
     wait_until_settled(&node, &endpoint);
+    let idle = node.anonymous_memory_kb();
+    let crowd = start_crowd(node.address, CLIENTS, &unfinished_chunked_body(65_000));
+    let peak = peak_memory_kb(&node, &crowd);
+    println!("memory of the sender's own: {idle} kB idle, {peak} kB at most");
+    assert!(peak < idle + MAX_KB, "{peak} kB, {idle} kB idle");
+    for peer in crowd {
+        let took = peer.join().unwrap();
+        assert!(took < ERROR_DUE, "an error or a close after {took:?}");
+    }
 }
 
 /// Guards against a sender killed for its memory: many unfinished bodies that are each within their limit.
