Test of refused connections uses an address that no other peer can get

Cause, suspected by reading: the port of its closed listener on 127.0.0.1 can be given to a peer of another test meanwhile, which then serves the message. free_address exists for this. Not reproduced.

Change: free_address; the checks are the same.

Measured: the test passes alone, once; clippy passes.

--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -5,7 +5,7 @@
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::io::{BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -202,7 +202,7 @@
 
 #[test]
 fn hands_back_message_after_refused_connections() {
-    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let closed = free_address();
     let discovery = Discovery::new(json!([ready("e-1", closed, 7)]));
     let node = Node::start(&discovery);
     assert_eq!(node.hand_in("order", "m", 7, 1_000, b"x"), 202);
