Log each call to discovery with its end, and each list that is put in force

It could not be told whether a call was out, the sender paused, or the list had come and was not heeded.

Change: calls to discovery are numbered. Debug: begin (address, path, timeout), list received, pause with its reason. `discovery fails` and `discovery answers again` have the call's number and how long ago the list was last confirmed. Info: `a list of endpoints is in force`, with generation and number of entries. Decisions are unchanged.

--- a/src/bin/sender/core.rs
+++ b/src/bin/sender/core.rs
@@ -535,6 +535,8 @@
 
     /// Puts a new list in force, and tells the policy what changed for the destinations that it knows.
     fn apply_list(&mut self, list: intake::LoadedList, events: &mut Vec<Event>) {
+        let (generation, reset, changed) = (list.generation, list.reset, list.entries);
+        tracing::info!(generation, reset, changed, "a list of endpoints is in force");
         let before = self.directory.replace(list.catalogue);
         let whole = list.reset | std::mem::take(&mut self.list_incomplete);
         if whole {
--- a/src/bin/sender/discovery.rs
+++ b/src/bin/sender/discovery.rs
@@ -209,14 +209,17 @@
 ) {
     let mut kept_connection = None;
     let (mut failing, mut refusing, mut first) = (false, false, true);
-    loop {
+    let mut confirmed_at: Option<Instant> = None;
+    for call in 1u64.. {
         // The first answer is needed at once, so discovery must not wait for a change.
         let wait = if first { Duration::ZERO } else { backoff.watch_wait() };
         let path = known.map_or("/v1/servers".to_string(), |generation| {
             format!("/v1/servers?index={generation}&wait={}", wait.as_millis())
         });
         let timeout = if wait.is_zero() { IMMEDIATE_TIMEOUT } else { wait + WATCH_GRACE };
+        tracing::debug!(call, %address, path, ?timeout, "a call to discovery begins");
         let answer = fetch_list(&mut kept_connection, address, &path, intake, Instant::now() + timeout).await;
+        let since_confirmed = confirmed_at.map(|at| at.elapsed());
         // Without a known list there is nothing to apply changes to.
         let answer = answer.and_then(|list| match list.reset || known.is_some() {
             true => Ok(list),
@@ -224,9 +227,12 @@
         });
         match answer {
             Ok(list) => {
+                let (generation, reset, entries) = (list.generation, list.reset, list.entries);
+                tracing::debug!(call, generation, reset, entries, "a call to discovery brought a list");
                 if std::mem::take(&mut failing) | std::mem::take(&mut refusing) {
-                    tracing::info!("discovery answers again");
+                    tracing::info!(call, generation, ?since_confirmed, "discovery answers again");
                 }
+                confirmed_at = Some(Instant::now());
                 if list.unreadable > 0 {
                     tracing::warn!(
                         entries = list.unreadable,
@@ -245,25 +251,28 @@
             }
             Err(FetchError::OverLimits(error)) => {
                 if !std::mem::replace(&mut refusing, true) {
-                    tracing::error!(%error, "discovery's list is refused; going on with the list held");
+                    tracing::error!(call, %error, "discovery's list is refused; going on with the list held");
                 }
                 first = true;
                 let pause = backoff.pause_after_refusal();
-                tracing::debug!(%address, %error, ?pause, "pausing before the next call to discovery");
+                tracing::debug!(call, %error, ?pause, "pausing before the next call to discovery");
                 sleep(pause).await;
             }
             Err(error) => {
                 if !std::mem::replace(&mut failing, true) {
-                    tracing::warn!(%error, "discovery fails; going on with the list held");
+                    tracing::warn!(
+                        call, %address, %error, ?since_confirmed,
+                        "discovery fails; going on with the list held"
+                    );
                 }
                 // After any failure the next call asks for an immediate answer: a watch could be silent as
                 // well, and for all of its wait.
                 first = true;
-                let pause = match error {
+                let pause = match &error {
                     FetchError::NotAccepted(_) => backoff.pause_after_failure(),
                     _ => backoff.pause_after_unusable(),
                 };
-                tracing::debug!(%address, ?pause, "pausing before the next call to discovery");
+                tracing::debug!(call, %error, ?pause, "pausing before the next call to discovery");
                 sleep(pause).await;
             }
         }
