Testbed: a drain counts as known from when the agents have it and can be reached

Need: the judge took a drain for known when discovery had sent it, or 6 s after the change.

Change: discovery records when it pushes a change to the agents. The older times still count where they are earlier.

--- a/crates/testbed/src/discovery.rs
+++ b/crates/testbed/src/discovery.rs
@@ -170,6 +170,7 @@
             sleep_until(at).await;
             let mut list = self.list.lock().expect("no holder panics");
             list.set(endpoint, lifecycle);
+            self.context.fact_log.record(FactKind::ChangePublished { endpoint, lifecycle });
             self.published.send_replace(list.generation());
         }
     }
--- a/crates/testbed/src/facts.rs
+++ b/crates/testbed/src/facts.rs
@@ -149,6 +149,9 @@
     /// An endpoint's lifecycle changed; discovery tells senders of it later.
     #[serde(rename = "changed")]
     EndpointChanged { endpoint: u32, lifecycle: Lifecycle },
+    /// Discovery has pushed a change to the agents of all senders.
+    #[serde(rename = "published")]
+    ChangePublished { endpoint: u32, lifecycle: Lifecycle },
     /// Discovery sends a change to a sender.
     #[serde(rename = "told")]
     ChangeSent { sender: u32, endpoint: u32, lifecycle: Lifecycle },
--- a/crates/testbed/src/judge/fact_index.rs
+++ b/crates/testbed/src/judge/fact_index.rs
@@ -1,4 +1,5 @@
 //! The facts of a play, indexed by what they are about. The rules read the index.
+use super::agent::Agents;
 use crate::clock::{Ns, MS, SECOND};
 use crate::facts::{Fact, FactKind, HandInResult, MessageId, Notice, ProcessEvent, Reply};
 use crate::plan::Terms;
@@ -8,7 +9,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 /// Data that a fault of a link has delayed may arrive until this long after the end of the fault.
-const LINK_BACKLOG: Ns = 1_500 * MS;
+pub const LINK_BACKLOG: Ns = 1_500 * MS;
 /// After a restart no notice is overdue until this time after readiness (PROTOCOL, The rules on sockets).
 const RESTART_GRACE: Ns = 1_500 * MS;
 /// A change of the list counts as known to a sender after this time, even if discovery has not sent it, but
@@ -103,6 +104,8 @@
     pub overload_failures: Vec<(Ns, u32)>,
     /// Changes of the list, in order.
     changes: Vec<(Ns, u32, Lifecycle)>,
+    /// What the agents of the senders have, and when they can be reached.
+    agents: Agents,
     /// By sender and endpoint: the changes that discovery has sent.
     sent_changes: HashMap<(u32, u32), Vec<(Ns, Lifecycle)>>,
 }
@@ -125,6 +128,7 @@
             outages: HashMap::new(),
             overload_failures: Vec::new(),
             changes: Vec::new(),
+            agents: Agents::default(),
             sent_changes: HashMap::new(),
         };
         let mut positions = HashMap::new();
@@ -183,9 +187,12 @@
                     self.calls[*position].reply = Some((at, reply));
                 }
             }
-            // An abandoned call may have run, as any call without a reply. Faults of discovery excuse
-            // nothing: `ChangeSent` records what the senders have been sent.
-            FactKind::CallAbandoned { .. } | FactKind::DiscoveryFault { .. } => {}
+            // An abandoned call may have run, as any call without a reply.
+            FactKind::CallAbandoned { .. } => {}
+            FactKind::DiscoveryFault { kind, begins } => self.agents.add_fault(at, kind, begins),
+            FactKind::ChangePublished { endpoint, lifecycle } => {
+                self.agents.add_change(at, endpoint, lifecycle)
+            }
             FactKind::CallWithoutId { sender, endpoint } => {
                 self.calls_without_id.push((at, sender, endpoint))
             }
@@ -309,7 +316,11 @@
             .filter(|c| c.1 == endpoint)
             .map(|c| ((c.0 + KNOWN_AFTER_CHANGE).max(ready + KNOWN_AFTER_READY), c.2));
         let sent = self.sent_changes.get(&(sender, endpoint)).into_iter().flatten().copied();
-        let mut all: Vec<(Ns, Lifecycle)> = presumed.chain(sent).filter(|(when, _)| *when <= at).collect();
+        let no_faults = Vec::new();
+        let link_faults = self.link_faults.get(&(Link::Discovery, sender)).unwrap_or(&no_faults);
+        let pushed = self.agents.known_changes(endpoint, at, link_faults, &self.processes[sender as usize]);
+        let known = presumed.chain(sent).chain(pushed);
+        let mut all: Vec<(Ns, Lifecycle)> = known.filter(|(when, _)| *when <= at).collect();
         all.sort_by_key(|(when, _)| *when);
         let after_ready = all.iter().rposition(|(_, l)| *l == Lifecycle::Ready).map_or(0, |i| i + 1);
         all.get(after_ready).map(|(when, _)| *when)
--- a/crates/testbed/src/judge/mod.rs
+++ b/crates/testbed/src/judge/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! `rules` has one function for each rule of the brief and the protocol; `docs/design/testbed.md`
 //! lists them.
+mod agent;
 mod fact_index;
 mod rules;
 
--- a/crates/testbed/tests/judge.rs
+++ b/crates/testbed/tests/judge.rs
@@ -236,6 +236,57 @@
     });
 }
 
+/// Returns whether a call to endpoint 1 violates the rule on drains and no other, if the agents have its drain
+/// from 5 s on and nothing was sent.
+fn drain_of_published_change(call_at: Ns, more: impl Fn(&mut FactBuilder)) -> bool {
+    let mut facts = valid_play();
+    remove(&mut facts, |kind| matches!(kind, FactKind::ChangeSent { .. }));
+    let lifecycle = Lifecycle::Terminating;
+    facts.fact(5 * SECOND, FactKind::ChangePublished { endpoint: 1, lifecycle });
+    more(&mut facts);
+    facts.called(call_at, 90, 4, 1).replied(call_at + 100 * MS, 90, Reply::Delivered);
+    let violated = facts.violated();
+    assert!(violated.is_subset(&BTreeSet::from([Rule::Drain])), "{violated:?}");
+    !violated.is_empty()
+}
+
+#[test]
+fn drain_if_agent_has_change() {
+    assert!(!drain_of_published_change(5_540 * MS, |_| {}));
+    assert!(drain_of_published_change(5_560 * MS, |_| {}));
+}
+
+#[test]
+fn drain_counts_from_when_agent_answers_again() {
+    for kind in [EventKind::DiscoverySilent, EventKind::DiscoveryRefuses, EventKind::DiscoveryCrowded] {
+        let outage = |facts: &mut FactBuilder| {
+            facts.fact(4 * SECOND, FactKind::DiscoveryFault { kind, begins: true });
+            facts.fact(6 * SECOND, FactKind::DiscoveryFault { kind, begins: false });
+        };
+        assert!(!drain_of_published_change(6_540 * MS, outage));
+        assert!(drain_of_published_change(6_560 * MS, outage));
+    }
+}
+
+#[test]
+fn drain_counts_from_four_seconds_after_move() {
+    let moves = |facts: &mut FactBuilder| {
+        let kind = EventKind::DiscoveryMoves;
+        facts.fact(4_500 * MS, FactKind::DiscoveryFault { kind, begins: true });
+    };
+    assert!(!drain_of_published_change(9_040 * MS, moves));
+    assert!(drain_of_published_change(9_060 * MS, moves));
+}
+
+#[test]
+fn drain_counts_from_end_of_pause_of_sender() {
+    let pause = |facts: &mut FactBuilder| {
+        facts.process(5_100 * MS, ProcessEvent::Paused).process(6 * SECOND, ProcessEvent::Continued);
+    };
+    assert!(!drain_of_published_change(6_540 * MS, pause));
+    assert!(drain_of_published_change(6_560 * MS, pause));
+}
+
 #[test]
 fn wait_if_call_comes_within_retry_after() {
     assert_only_violates(Rule::Wait, |facts| {
