Upgrade: a call that the old process never reports on ends by its message's deadline

Change: each handed-over attempt has its message's deadline; 100 ms after it an attempt without a report counts as unanswered. A later report of it is ignored, as before for unknown ones. The log says `the process before does not report the end of calls`.

Not covered: a new process that hangs after it has taken over.

--- a/src/bin/sender/core.rs
+++ b/src/bin/sender/core.rs
@@ -28,6 +28,10 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep_until, timeout, Instant};
 
+/// Attempts that another process has begun, by number of the message and of the attempt, each with its
+/// message's deadline.
+pub type HandedOverAttempts = HashMap<(u64, u32), (AttemptInFlight, Instant)>;
+
 /// What other tasks need of the state that the core starts with.
 pub struct Start {
     /// The list that the watch of discovery continues from.
@@ -272,9 +276,17 @@
         }
     }
 
-    /// Returns the attempts in flight, by number of the message and of the attempt.
-    pub fn attempts_in_flight(&self) -> HashMap<(u64, u32), AttemptInFlight> {
-        self.attempts_in_flight.clone()
+    /// Returns the attempts in flight that another process has begun and reports on, each with its message's
+    /// deadline. Those of messages that have ended have the latest deadline that any may have.
+    pub fn handed_over_attempts(&self, handed_over: &HashSet<(u64, u32)>) -> HandedOverAttempts {
+        let longest = self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+        let latest = self.policy_time(Instant::now()) + longest;
+        let attempts = self.attempts_in_flight.iter().filter(|(call, _)| handed_over.contains(call));
+        let with_deadline = |(&(id, attempt), in_flight): (&(u64, u32), &AttemptInFlight)| {
+            let deadline = self.held.get(&id).map_or(latest, |held| held.deadline);
+            ((id, attempt), (in_flight.clone(), self.instant(deadline)))
+        };
+        attempts.map(with_deadline).collect()
     }
 
     /// Resumes the messages in the journal. `from_handover` are those that the policy already knows from a
--- a/src/bin/sender/handover.rs
+++ b/src/bin/sender/handover.rs
@@ -9,9 +9,10 @@
 //! forwards the messages and operators' calls that still reach it. If the new process dies, the old one
 //! starts over from the journal. If the old one dies, its calls count as lost connections in the new one.
 use crate::client::attempt_end;
+use crate::core::HandedOverAttempts;
 use crate::input::{Input, MaintenanceReply, Reply};
 use crate::owner::Owner;
-use crate::process_state::{AttemptInFlight, HandoverState, RemainingWork};
+use crate::process_state::{HandoverState, RemainingWork};
 use crate::process_state_v1::StateV1;
 use crate::server::{ClientConnection, Server};
 use bytes::Bytes;
@@ -39,7 +40,7 @@
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 /// The version of the handed-over state.
 const VERSION: u32 = 2;
@@ -50,6 +51,9 @@
 /// Pause before the old process is asked again, before accepting is tried again after an error, and between
 /// an old process's checks whether it may end.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// How long after a message's deadline the old process may take to report that its call was not answered. The
+/// message has to end 300 ms after its deadline.
+const MAX_REPORT_DELAY: Duration = Duration::from_millis(100);
 /// Bytes of the longest frame: the whole state, with room to spare.
 const MAX_FRAME_BYTES: usize = 16 << 20;
 /// Bytes of a frame's header: its length, and whether a descriptor is attached.
@@ -410,11 +414,22 @@
     }
 }
 
+/// Takes the attempts out whose end the old process should have reported by now, and returns their ends.
+fn take_unreported(attempts_in_flight: &mut HandedOverAttempts, started: Instant) -> Vec<AttemptEnd> {
+    let now = Instant::now();
+    let unreported = attempts_in_flight.extract_if(|_, (_, deadline)| *deadline + MAX_REPORT_DELAY <= now);
+    unreported
+        .map(|((id, attempt), (in_flight, _))| {
+            attempt_end(id, attempt, in_flight.endpoint, Outcome::NoAnswer, started)
+        })
+        .collect()
+}
+
 /// Serves the old process until it ends. `attempts_in_flight` are those of its attempts that the core has
-/// restored.
+/// restored. An attempt whose end it does not report in time counts as unanswered.
 pub fn follow_predecessor(
     predecessor: Predecessor,
-    mut attempts_in_flight: HashMap<(u64, u32), AttemptInFlight>,
+    mut attempts_in_flight: HandedOverAttempts,
     core: mpsc::Sender<Input>,
     control: mpsc::Sender<Input>,
     server: Rc<Server>,
@@ -429,7 +444,7 @@
             }
         }
     });
-    for (&(id, attempt), in_flight) in &attempts_in_flight {
+    for (&(id, attempt), (in_flight, _)) in &attempts_in_flight {
         let (frames, cancel) = (frames.clone(), in_flight.cancel.clone());
         spawn_local(async move {
             tokio::select! {
@@ -440,7 +455,25 @@
     }
     spawn_local(async move {
         let started = Instant::now();
-        while let Ok(Some((frame, descriptor))) = reader.next().await {
+        loop {
+            let deadline = attempts_in_flight.values().map(|(_, deadline)| *deadline).min();
+            let report_due = async {
+                match deadline {
+                    Some(deadline) => sleep_until(deadline + MAX_REPORT_DELAY).await,
+                    None => std::future::pending().await,
+                }
+            };
+            let frame = tokio::select! {
+                biased;
+                frame = reader.next() => frame,
+                () = report_due => {
+                    let ends = take_unreported(&mut attempts_in_flight, started);
+                    tracing::warn!(calls = ends.len(), "the process before does not report the end of calls");
+                    let _ = core.send(Input::AttemptsEnded(ends)).await;
+                    continue;
+                }
+            };
+            let Ok(Some((frame, descriptor))) = frame else { break };
             match frame {
                 Frame::AttemptsEnded(mut ends) => {
                     ends.retain(|e| attempts_in_flight.remove(&(e.id, e.attempt)).is_some());
@@ -475,7 +508,7 @@
         // The connections of its attempts have ended with it.
         let ends: Vec<AttemptEnd> = attempts_in_flight
             .iter()
-            .map(|(&(id, attempt), in_flight)| {
+            .map(|(&(id, attempt), (in_flight, _))| {
                 attempt_end(id, attempt, in_flight.endpoint, Outcome::ConnectionLost, started)
             })
             .collect();
--- a/src/bin/sender/main.rs
+++ b/src/bin/sender/main.rs
@@ -224,8 +224,7 @@
         discovery::Follower::new(core_in.clone(), schedule, intake, list_status.clone(), start.generation);
     let watch_task = spawn_local(follower.run(discovery));
     core.resume(start.handed_over, start.new_to_policy).await;
-    let in_flight =
-        core.attempts_in_flight().into_iter().filter(|(call, _)| handed_over.contains(call)).collect();
+    let in_flight = core.handed_over_attempts(&handed_over);
     let mut core = spawn_local(core.run());
 
     // The sender listens only now: clients use it as soon as it answers, and the messages in the journal come
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -321,6 +321,16 @@
         self.child.wait().unwrap();
     }
 
+    /// Stops the process with SIGSTOP, until `resume`.
+    pub fn pause(&self) {
+        signal(&self.child, "-STOP");
+    }
+
+    /// Continues a stopped process with SIGCONT.
+    pub fn resume(&self) {
+        signal(&self.child, "-CONT");
+    }
+
     /// Sends SIGTERM and waits for the process to exit.
     pub fn finish(&mut self) -> ExitStatus {
         signal(&self.child, "-TERM");
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -6,7 +6,7 @@
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Delays answers until it is opened.
 #[derive(Clone, Default)]
@@ -121,6 +121,26 @@
     assert!(old.finish().success());
 }
 
+/// Guards against a message without an end: the old process of an upgrade is silent, and with it its call.
+#[test]
+fn message_ends_in_time_while_old_process_is_silent() {
+    const TIME_LEFT: Duration = Duration::from_millis(2_500);
+    /// A message has to end this long after its deadline (PROTOCOL, The rules on sockets).
+    const MAX_DELAY: Duration = Duration::from_millis(300 + 50);
+    let (slow, _gate, called) = start_gated_endpoint();
+    let discovery = Discovery::new(json!([ready("e-1", slow.address, 7)]));
+    let mut node = start_with_control(&discovery);
+    let handed_in = Instant::now();
+    assert_eq!(node.hand_in("order", "m", 7, TIME_LEFT.as_millis() as u64, b"x"), 202);
+    node.wait_until("the call is in flight", || called.load(Ordering::SeqCst));
+    let mut old = node.upgrade();
+    old.pause();
+    assert_eq!(discovery.wait_for_notice("m")["outcome"], "given_up");
+    assert!(handed_in.elapsed() <= TIME_LEFT + MAX_DELAY, "{:?}: {}", handed_in.elapsed(), node.log());
+    old.resume();
+    assert!(old.finish().success());
+}
+
 #[test]
 fn retry_after_and_calls_in_flight_bind_both_processes() {
     const WAIT: Duration = Duration::from_secs(3);
