--- a/src/bin/sender/main.rs
+++ b/src/bin/sender/main.rs
@@ -22,6 +22,7 @@
 mod owner;
 mod process_state;
 mod process_state_v1;
+mod reload;
 mod server;
 
 use sender::api::MS;
@@ -136,7 +137,7 @@
     signals: &mut Signals,
     kept: Option<std::net::TcpListener>,
 ) -> Result<End, String> {
-    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
+    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let folder = config.state_folder.clone();
     let (control_in, control_inbox) = mpsc::channel(CONTROL_INBOX);
     let list_status = Rc::new(discovery::status::ListStatus::new(config.discovery));
@@ -194,20 +195,7 @@
     let (set_discovery, discovery) = watch::channel(config.discovery);
     let notice_task = spawn_local(notices::run(discovery.clone(), notices, core_in.clone()));
     let set_discovery = Rc::new(set_discovery);
-    let reload = set_discovery.clone();
-    spawn_local(async move {
-        while hangup.recv().await.is_some() {
-            match config::reload_discovery().await {
-                Ok(at) => {
-                    tracing::info!(discovery = %at, "reloaded");
-                    reload.send_replace(at);
-                }
-                Err(error) => {
-                    tracing::warn!(%error, "cannot reload the address of discovery; keeping the current one")
-                }
-            }
-        }
-    });
+    spawn_local(reload::run(hangup, set_discovery.clone()));
     let listen = config.listen;
     let program_settings = config.program_settings.clone();
     let effects = settings.classes.iter().map(|c| c.effect).collect();
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -779,6 +779,28 @@
     assert!(node.is_running());
 }
 
+/// Guards against a sender that stays at the old address for good, as its file could not be read for a moment.
+#[test]
+fn sighup_moves_watch_once_file_can_be_read() {
+    let endpoint = Peer::new(|_| ok());
+    let (old, new) = (Discovery::new(json!([])), Discovery::new(json!([ready("e-1", endpoint.address, 7)])));
+    let mut node = Node::start(&old);
+    let file = node.folder.join("config.json");
+    node.config["discovery"] = json!(new.peer.address.to_string());
+    let whole = node.config.to_string();
+    std::fs::write(&file, &whole[..whole.len() / 2]).unwrap();
+    node.reload();
+    let reloaded = Instant::now();
+    node.wait_until("the reload has failed", || node.log().contains("cannot reload"));
+    std::thread::sleep(Duration::from_millis(500));
+    std::fs::write(&file, whole).unwrap();
+    // Changes that discovery has count as known 4 s after the signal.
+    new.peer.wait("a call for the list", |seen| seen.iter().any(|r| r.start_line.contains("/v1/servers")));
+    assert!(reloaded.elapsed() < Duration::from_secs(4), "{:?}", reloaded.elapsed());
+    assert_eq!(node.hand_in("order", "m", 7, 16_000, b"x"), 202);
+    endpoint.wait_for("m", 1);
+}
+
 #[test]
 fn incomplete_requests_are_closed_or_answered_in_time() {
     let endpoint = Peer::new(|_| ok());
