Testbed: a change that is sent over a cut link counts as known once the link carries it

The judge counted from the write.

Change: what is sent over a disturbed link counts from 1.5 s after its fault, as all that the judge excuses on links does. The new test has both sides of that bound.

--- a/crates/testbed/src/judge/fact_index.rs
+++ b/crates/testbed/src/judge/fact_index.rs
@@ -1,5 +1,5 @@
 //! The facts of a play, indexed by what they are about. The rules read the index.
-use super::agent::Agents;
+use super::agent::{arrives_from, Agents};
 use crate::clock::{Ns, MS, SECOND};
 use crate::facts::{Fact, FactKind, HandInResult, MessageId, Notice, ProcessEvent, Reply};
 use crate::plan::Terms;
@@ -315,9 +315,10 @@
             .iter()
             .filter(|c| c.1 == endpoint)
             .map(|c| ((c.0 + KNOWN_AFTER_CHANGE).max(ready + KNOWN_AFTER_READY), c.2));
-        let sent = self.sent_changes.get(&(sender, endpoint)).into_iter().flatten().copied();
         let no_faults = Vec::new();
         let link_faults = self.link_faults.get(&(Link::Discovery, sender)).unwrap_or(&no_faults);
+        let sent = self.sent_changes.get(&(sender, endpoint)).into_iter().flatten();
+        let sent = sent.map(|&(when, lifecycle)| (arrives_from(when, link_faults), lifecycle));
         let pushed = self.agents.known_changes(endpoint, at, link_faults, &self.processes[sender as usize]);
         let known = presumed.chain(sent).chain(pushed);
         let mut all: Vec<(Ns, Lifecycle)> = known.filter(|(when, _)| *when <= at).collect();
--- a/crates/testbed/tests/judge.rs
+++ b/crates/testbed/tests/judge.rs
@@ -6,7 +6,7 @@
 use testbed::plan::{classes, Terms, BOOKING, RATE_PUSH};
 use testbed::platform::destination::Refusal;
 use testbed::platform::list::Lifecycle;
-use testbed::spec::EventKind;
+use testbed::spec::{EventKind, Link};
 
 const SENDER: u32 = 0;
 /// An endpoint of destination 0, which has the endpoints 0 and 1.
@@ -268,6 +268,25 @@
     }
 }
 
+/// A change that discovery has written to a link that is cut has not come to the sender.
+#[test]
+fn drain_counts_from_when_link_to_discovery_carries_it() {
+    let cut = |facts: &mut FactBuilder| {
+        let fault = |begins| FactKind::LinkFault {
+            sender: SENDER,
+            link: Link::Discovery,
+            kind: EventKind::CutBack,
+            begins,
+        };
+        facts.fact(4_900 * MS, fault(true)).fact(5_200 * MS, fault(false));
+        let lifecycle = Lifecycle::Terminating;
+        facts.fact(5_010 * MS, FactKind::ChangeSent { sender: SENDER, endpoint: 1, lifecycle });
+    };
+    // Data on the link may be late by 1.5 s after its fault.
+    assert!(!drain_of_published_change(7_240 * MS, cut));
+    assert!(drain_of_published_change(7_260 * MS, cut));
+}
+
 #[test]
 fn drain_counts_from_four_seconds_after_move() {
     let moves = |facts: &mut FactBuilder| {
