A short read or write says nothing of what is left in a socket

Cause: tokio's poll_evented.rs clears a socket's readiness after a read or write of less than was asked for. The poll is edge-triggered, so no event comes for bytes or room that are there already.

Change: Socket of src/bin/sender/socket.rs waits for readiness and reads or writes with try_*, which clear it only when the system says EAGAIN; EINTR makes the call again. Clients' connections and their lingering close, the control address, and all outgoing connections (endpoints, discovery, notices) use it.

--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -4,9 +4,11 @@
 use crate::endpoints::StubContext;
 use crate::facts::{FactKind, ProcessEvent};
 use crate::plan::Plan;
+use crate::program::{self, ProgramError};
 use crate::spec::{StateFolder, Sync};
 use rustix::process::{kill_process_group, set_parent_process_death_signal, Pid, Signal};
 use serde_json::{json, Value};
+use std::ffi::OsString;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -40,6 +42,21 @@
     NotEnded { sender: u32 },
     #[error("cannot reserve a loopback address for a sender: {0}")]
     Address(io::Error),
+    #[error(transparent)]
+    FaultLibrary(#[from] ProgramError),
+}
+
+/// Returns the environment of a process of which this share of reads and writes of sockets, in percent, is
+/// cut short.
+fn fault_environment(short_percent: u32, seed: u64) -> Result<Vec<(&'static str, OsString)>, ProgramError> {
+    if short_percent == 0 {
+        return Ok(Vec::new());
+    }
+    Ok(vec![
+        ("LD_PRELOAD", program::find_fault_library()?.into()),
+        ("FAULT_SHORT_PERCENT", short_percent.to_string().into()),
+        ("FAULT_SEED", seed.to_string().into()),
+    ])
 }
 
 /// A signal that a schedule sends to a running process.
@@ -68,6 +85,8 @@
     address: SocketAddr,
     /// Contents of `config.json` as the platform writes it; `discovery` changes when discovery moves.
     config: Value,
+    /// Environment variables that make calls of the system fail.
+    faults: Vec<(&'static str, OsString)>,
     ready_within: Duration,
     phase: Arc<watch::Sender<Phase>>,
     signals: Option<mpsc::UnboundedSender<ProcessSignal>>,
@@ -118,6 +137,7 @@
             folder,
             address,
             config,
+            faults: fault_environment(program_limits.short_counts, plan.seed.0)?,
             ready_within: Duration::from_secs_f64(program_limits.ready_s),
             phase: Arc::new(watch::Sender::new(Phase::Down)),
             signals: None,
@@ -228,6 +248,7 @@
             .env("EDGE_DISCOVERY", self.config["discovery"].as_str().unwrap_or_default())
             .env("EDGE_STATE", self.state_folder())
             .env("EDGE_CONFIG", config)
+            .envs(self.faults.iter().map(|(name, value)| (name, value)))
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
--- a/crates/testbed/src/program.rs
+++ b/crates/testbed/src/program.rs
@@ -6,12 +6,16 @@
 pub const NAME: &str = "cairnpulley-sender";
 /// Package of the sender's binary.
 const PACKAGE: &str = "sender";
+/// File name of the library that makes calls of the system fail (`crates/fault-library`).
+const FAULT_LIBRARY: &str = "libfault_library.so";
 
 /// Why no sender can be located.
 #[derive(Debug, thiserror::Error)]
 pub enum ProgramError {
     #[error("no sender at {0}: build it with `cargo build --release`, or give the path of one")]
     Missing(PathBuf),
+    #[error("no fault library at {0}: build it with `cargo build --workspace`")]
+    MissingLibrary(PathBuf),
     #[error("cannot build the sender: cargo {0}")]
     Build(String),
     #[error("cannot determine the path of this program: {0}")]
@@ -38,6 +42,15 @@
     beside(&std::env::current_exe()?)
 }
 
+/// Returns the fault library of this build. Cargo puts it beside the binaries or beside the tests.
+pub fn find_fault_library() -> Result<PathBuf, ProgramError> {
+    let own = std::env::current_exe()?;
+    let folder = own.parent().unwrap_or(Path::new("."));
+    let candidates = [folder.join(FAULT_LIBRARY), folder.join("deps").join(FAULT_LIBRARY)];
+    let found = candidates.iter().find(|path| path.is_file());
+    found.cloned().ok_or_else(|| ProgramError::MissingLibrary(candidates[0].clone()))
+}
+
 fn existing(path: PathBuf) -> Result<PathBuf, ProgramError> {
     match path.is_file() {
         true => std::path::absolute(&path).map_err(ProgramError::OwnPath),
--- a/crates/testbed/src/spec.rs
+++ b/crates/testbed/src/spec.rs
@@ -177,6 +177,9 @@
     /// Seconds between two snapshots of what senders have learned. Without it a killed sender starts with
     /// nothing learned.
     pub learned_s: Option<u64>,
+    /// Share in percent of the senders' reads and writes of sockets that return fewer bytes than were there
+    /// or would have fitted.
+    pub short_counts: u32,
 }
 
 /// Values of `store.sync` in a sender's configuration.
@@ -200,6 +203,7 @@
             sync: Sync::None,
             interval_ms: 20,
             learned_s: None,
+            short_counts: 0,
         }
     }
 }
@@ -449,6 +453,7 @@
         check_bounds("clients.honour", c.honour, 0.0, 1.0)?;
         check_bounds("clients.strangers", c.strangers, 0.0, 1_000.0)?;
         check_bounds("program.ready_s", self.program.ready_s, 0.1, 600.0)?;
+        check_bounds("program.short_counts", self.program.short_counts.into(), 0.0, 100.0)?;
         check_bounds("program.interval_ms", self.program.interval_ms as f64, 1.0, 60e3)?;
         check_bounds("program.disk_mb", self.program.disk_mb, 0.01, 1e6)?;
         check_interval("traffic.clump_s", t.clump_s, 0.1)?;
--- a/crates/testbed/tests/judge.rs
+++ b/crates/testbed/tests/judge.rs
@@ -236,8 +236,8 @@
     });
 }
 
-/// Returns whether a call to endpoint 1 violates the rule on drains and no other, if the agents have its drain
-/// from 5 s on and nothing was sent.
+/// Returns whether a call to endpoint 1 violates the rule on drains and no other, if the agents have its
+/// drain from 5 s on and nothing was sent.
 fn drain_of_published_change(call_at: Ns, more: impl Fn(&mut FactBuilder)) -> bool {
     let mut facts = valid_play();
     remove(&mut facts, |kind| matches!(kind, FactKind::ChangeSent { .. }));
--- a/crates/testbed/tests/play.rs
+++ b/crates/testbed/tests/play.rs
@@ -1,30 +1,12 @@
 //! Whole plays with the sender program as processes, and with programs that misbehave.
+mod common;
+use common::{play_with, sender_program};
 use std::collections::BTreeSet;
 use std::path::Path;
-use std::sync::Arc;
 use testbed::facts::{FactKind, ProcessEvent};
 use testbed::judge::Rule;
-use testbed::plan::Plan;
-use testbed::play::{play, Played, Progress};
-use testbed::program;
-use testbed::seed::Seed;
-use testbed::spec::{EventKind, Spec};
-use tokio::sync::watch;
-
-fn play_with(program: &Path, text: &str, seed: u64) -> Played {
-    let spec = Spec::parse(Path::new("test.toml"), text).expect("the experiment is valid");
-    let plan = Arc::new(Plan::draw(&spec, Seed(seed)));
-    let work = tempfile::tempdir().expect("a temporary folder can be created");
-    let runtime =
-        tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("the runtime starts");
-    let progress = watch::Sender::new(Progress::Starting { ready: 0 });
-    eprintln!("seed {seed}");
-    runtime.block_on(play(&plan, program, work.path(), &progress)).expect("the play runs")
-}
-
-fn sender_program() -> std::path::PathBuf {
-    program::find_for_test().expect("the whole workspace is built: cargo test --workspace")
-}
+use testbed::play::Played;
+use testbed::spec::EventKind;
 
 fn violated_rules(played: &Played) -> BTreeSet<Rule> {
     played.verdict.violations.iter().map(|b| b.rule).collect()
--- a/src/bin/sender/connection.rs
+++ b/src/bin/sender/connection.rs
@@ -1,6 +1,7 @@
 //! An outgoing HTTP/1.1 connection that knows whether a failed request had been written and what status line
 //! came back.
 use crate::body;
+use crate::socket::Socket;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -8,7 +9,6 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, HOST};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind};
 use std::mem::MaybeUninit;
@@ -18,7 +18,6 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep_until, timeout, Instant};
 
@@ -66,7 +65,7 @@
 /// answer: hyper learns of them only when the event loop next polls the socket, and would take them for the
 /// answer to this request.
 struct ObservedStream {
-    stream: TcpStream,
+    stream: Socket,
     observed: Rc<Observed>,
 }
 
@@ -124,7 +123,7 @@
     /// Checks that the connection is open and has nothing to read. Asks the system, as the event loop may not
     /// have seen the last bytes yet.
     fn check_idle(&self) -> io::Result<()> {
-        match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
+        match self.stream.as_sock_ref().peek(&mut [MaybeUninit::uninit()]) {
             Err(error) if error.kind() == ErrorKind::WouldBlock => Ok(()),
             Err(error) => Err(error),
             Ok(0) => Err(io::Error::new(ErrorKind::UnexpectedEof, "the peer has closed the idle connection")),
@@ -176,8 +175,7 @@
 impl Connection {
     /// Connects to an address, within a timeout.
     pub async fn open(address: SocketAddr, connect_timeout: Duration) -> io::Result<Connection> {
-        let stream = timeout(connect_timeout, TcpStream::connect(address)).await??;
-        stream.set_nodelay(true)?;
+        let stream = timeout(connect_timeout, Socket::connect(address)).await??;
         let observed = Rc::<Observed>::default();
         let io = TokioIo::new(ObservedStream { stream, observed: observed.clone() });
         let mut builder = http1::Builder::new();
--- a/src/bin/sender/control.rs
+++ b/src/bin/sender/control.rs
@@ -8,6 +8,7 @@
 use crate::discovery::status::ListStatus;
 use crate::input::{Input, MaintenanceReply};
 use crate::server::{method_not_allowed, text_response};
+use crate::socket::Socket;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -108,7 +109,7 @@
         });
         let mut http = hyper::server::conn::http1::Builder::new();
         http.keep_alive(false).max_buf_size(MAX_HEAD_BYTES);
-        if let Err(error) = http.serve_connection(TokioIo::new(stream), service).await {
+        if let Err(error) = http.serve_connection(TokioIo::new(Socket::new(stream)), service).await {
             tracing::debug!(%error, "a control connection failed");
         }
     }
--- a/src/bin/sender/linger.rs
+++ b/src/bin/sender/linger.rs
@@ -3,6 +3,7 @@
 //! Closing a socket that has unread bytes resets the connection, and the reset may destroy an answer that the
 //! peer has not read yet. So the writing side is shut down first, further bytes are read and discarded, and
 //! the socket is closed once the peer has closed its side or a limit is reached.
+use crate::socket::Socket;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -17,7 +18,8 @@
 
 /// Closes a connection after a lingering close. Nothing that is read is acted on, as it could no longer be
 /// answered.
-pub async fn close(mut stream: TcpStream) {
+pub async fn close(stream: TcpStream) {
+    let mut stream = Socket::new(stream);
     if stream.shutdown().await.is_err() {
         return;
     }
--- a/src/bin/sender/main.rs
+++ b/src/bin/sender/main.rs
@@ -24,6 +24,7 @@
 mod process_state_v1;
 mod reload;
 mod server;
+mod socket;
 
 use sender::api::MS;
 use std::collections::HashSet;
--- a/src/bin/sender/reload.rs
+++ b/src/bin/sender/reload.rs
@@ -1,6 +1,7 @@
 //! Reads the address of discovery again on SIGHUP.
 //!
-//! The old address is closed soon after the signal, so a file that can't be read at that moment is read again.
+//! The old address is closed soon after the signal, so a file that can't be read at that moment is read
+//! again.
 use crate::config;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,8 +10,8 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-/// Pauses before a file that could not be used is read again; each is twice as long as the one before. Changes
-/// that discovery has count as known 4 s after the signal.
+/// Pauses before a file that could not be used is read again; each is twice as long as the one before.
+/// Changes that discovery has count as known 4 s after the signal.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const MAX_PAUSE: Duration = Duration::from_secs(5);
 
--- a/src/bin/sender/server.rs
+++ b/src/bin/sender/server.rs
@@ -8,6 +8,7 @@
 use crate::directory::Directory;
 use crate::input::{Input, Reply};
 use crate::linger;
+use crate::socket::Socket;
 use bytes::Bytes;
 use connection_state::{ConnectionState, EvictionClass, ObservedReader};
 use http_body_util::Full;
@@ -32,7 +33,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{join, AsyncReadExt, Chain, Join};
-use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
@@ -278,8 +278,8 @@
             })
         });
         // Bytes that the previous process had read come first.
-        let (reader, writer) = stream.into_split();
-        let reader = ObservedReader { inner: reader, state: state.clone() };
+        let writer = Socket::new(stream);
+        let reader = ObservedReader { inner: writer.clone(), state: state.clone() };
         let io = TokioIo::new(join(Cursor::new(buffered).chain(reader), writer));
         let mut connection = Builder::new().max_buf_size(MAX_READ_BUFFER_BYTES).serve_connection(io, service);
         let mut handing_over = false;
@@ -287,12 +287,13 @@
         let mut closing_since: Option<Instant> = None;
         // Takes the connection apart into its socket and the bytes that were read but not used.
         let into_stream = |parts: Parts<_, _>| -> (Option<TcpStream>, Bytes) {
-            let io: TokioIo<Join<Chain<Cursor<Bytes>, ObservedReader>, OwnedWriteHalf>> = parts.io;
+            let io: TokioIo<Join<Chain<Cursor<Bytes>, ObservedReader>, Socket>> = parts.io;
             let (reader, writer) = io.into_inner().into_inner();
             let (ahead, reader) = reader.into_inner();
             let unread = ahead.get_ref().get(ahead.position() as usize..).unwrap_or_default();
             let buffered = [&parts.read_buf, unread].concat().into();
-            (reader.inner.reunite(writer).ok(), buffered)
+            drop(reader);
+            (writer.into_stream(), buffered)
         };
         loop {
             if handing_over && state.unanswered.get() == 0 {
--- a/src/bin/sender/server/connection_state.rs
+++ b/src/bin/sender/server/connection_state.rs
@@ -1,5 +1,6 @@
 //! The state of a client's connection: what has been read of its next request, and when it may be evicted.
 use super::MAX_HEADERS_BYTES;
+use crate::socket::Socket;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
@@ -7,7 +8,6 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, ReadBuf};
-use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -119,7 +119,7 @@
 
 /// The reading half of a connection; records in the connection's state what is read and when.
 pub struct ObservedReader {
-    pub inner: OwnedReadHalf,
+    pub inner: Socket,
     pub state: Rc<ConnectionState>,
 }
 
--- /dev/null
+++ b/src/bin/sender/socket.rs
@@ -0,0 +1,100 @@
+//! TCP connections on which a short count says nothing of what is left.
+//!
+//! After a read or write of less than was asked for, tokio's own stream takes the socket for empty or full
+//! and waits for the next event of an edge-triggered poll. If bytes or room were left, as Linux allows, that
+//! event never comes. Here a socket is empty or full only when the system says so (`EAGAIN`). An interrupted
+//! call is made again.
+use socket2::SockRef;
+use std::io::{self, ErrorKind, IoSlice};
+use std::net::{Shutdown, SocketAddr};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// A TCP connection. Clones share it, so that one may read while another writes; it is closed when all are
+/// dropped.
+#[derive(Clone)]
+pub struct Socket(Rc<TcpStream>);
+
+impl Socket {
+    pub fn new(stream: TcpStream) -> Socket {
+        Socket(Rc::new(stream))
+    }
+
+    /// Connects to an address, with small writes sent at once.
+    pub async fn connect(address: SocketAddr) -> io::Result<Socket> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        Ok(Socket::new(stream))
+    }
+
+    /// Returns the stream if this is the only clone.
+    pub fn into_stream(self) -> Option<TcpStream> {
+        Rc::into_inner(self.0)
+    }
+
+    /// Returns the socket itself, for calls that neither read nor write.
+    pub fn as_sock_ref(&self) -> SockRef<'_> {
+        SockRef::from(&*self.0)
+    }
+
+    /// Writes with `write` as soon as the socket is not full.
+    fn poll_write_with(
+        &self,
+        cx: &mut Context<'_>,
+        mut write: impl FnMut(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(cx))?;
+            match write(&self.0) {
+                Err(error) if is_transient(&error) => {}
+                result => return Poll::Ready(result),
+            }
+        }
+    }
+}
+
+/// Returns whether the call is to be made again, once the socket is ready.
+fn is_transient(error: &io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.poll_read_ready(cx))?;
+            match self.0.try_read_buf(buf) {
+                Err(error) if is_transient(&error) => {}
+                result => return Poll::Ready(result.map(|_| ())),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_write_with(cx, |stream| stream.try_write(buf))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_with(cx, |stream| stream.try_write_vectored(bufs))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.as_sock_ref().shutdown(Shutdown::Write))
+    }
+}
