A call to discovery that is due late is put off once, not each time

Need: found in reading the change again. A due call whose timer fires over 20 ms late is put off by 10 ms, so that answers that came while the sender was held up are read first. Where every timer is late, as under a share of a core that is used up, it would be put off for ever.

Change: once for a call; the decision moved into the schedule.

--- a/src/bin/sender/discovery.rs
+++ b/src/bin/sender/discovery.rs
@@ -28,11 +28,6 @@
 /// How long after its wait a call stays out. Younger calls are made beside it long before.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// A timer that is late by more than this shows that the sender was held up. Answers that have come meanwhile
-/// are read first, for which this pause is enough.
-const MAX_TIMER_DELAY: Duration = Duration::from_millis(20);
-const PAUSE_AFTER_DELAY: Duration = Duration::from_millis(10);
-
 /// Follows the list of endpoints and passes each change to the core.
 pub struct Follower {
     core: mpsc::Sender<Input>,
@@ -124,14 +119,14 @@
 
     /// Begins a call, unless a long list has put it off, or the sender was held up until now.
     fn begin_call_if_due(&mut self) {
-        let (due, now) = (self.next_call(), Instant::now());
-        if now < due {
+        let now = Instant::now();
+        if now < self.next_call() {
             return;
         }
-        if now > due + MAX_TIMER_DELAY && !self.calls.is_empty() {
-            return self.schedule.put_off(now + PAUSE_AFTER_DELAY);
+        let is_late = !self.calls.is_empty() && self.schedule.put_off_if_late(now);
+        if !is_late {
+            self.begin_call();
         }
-        self.begin_call();
     }
 
     /// Begins a call beside those that are out.
--- a/src/bin/sender/discovery/schedule.rs
+++ b/src/bin/sender/discovery/schedule.rs
@@ -22,6 +22,11 @@
 /// drawn, so that senders do not stay in step.
 const MIN_INTERVAL_SHARE: f64 = 0.75;
 
+/// A timer that is late by more than this shows that the sender was held up. Answers that have come meanwhile
+/// are read first, for which this pause is enough.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(20);
+const PAUSE_AFTER_DELAY: Duration = Duration::from_millis(10);
+
 /// How a call failed, as far as the time of the next one depends on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallFailure {
@@ -44,6 +49,8 @@
     /// Whether the next call asks for an immediate answer: the first one, and each one after a call that
     /// failed or was not answered, as a watch could be silent for all of its wait.
     immediate: bool,
+    /// Whether the next call was put off since it was due first.
+    was_put_off: bool,
 }
 
 impl CallSchedule {
@@ -56,7 +63,7 @@
             }
             ListDelivery::Requested => None,
         };
-        CallSchedule { interval, backoff, next_call: now, immediate: true }
+        CallSchedule { interval, backoff, next_call: now, immediate: true, was_put_off: false }
     }
 
     /// Returns when the next call is due, beside those that are out.
@@ -73,6 +80,7 @@
     /// Plans a call that begins now. Returns how long discovery may wait for a change before it answers.
     pub fn begin_call(&mut self, now: Instant) -> Duration {
         let immediate = std::mem::replace(&mut self.immediate, true);
+        self.was_put_off = false;
         let (wait, until_next) = match (self.interval, immediate) {
             (Some(interval), true) => {
                 let share = MIN_INTERVAL_SHARE + (1.0 - MIN_INTERVAL_SHARE) * self.backoff.random_share();
@@ -89,9 +97,16 @@
         wait
     }
 
-    /// Puts off a call that is due: the sender was held up, and may not have seen an answer that has come.
-    pub fn put_off(&mut self, until: Instant) {
-        self.next_call = until;
+    /// Puts off a call that is due at `now`, if it is so late that the sender was held up, and may not have
+    /// seen an answer that has come. Does so once for a call, as a sender may be late all the time. Returns
+    /// whether the call was put off.
+    pub fn put_off_if_late(&mut self, now: Instant) -> bool {
+        if self.was_put_off || now <= self.next_call + MAX_TIMER_DELAY {
+            return false;
+        }
+        self.was_put_off = true;
+        self.next_call = now + PAUSE_AFTER_DELAY;
+        true
     }
 
     /// Notes that a usable list has come. A watch follows without a pause: discovery may reject one that
--- a/src/bin/sender/discovery/schedule/tests.rs
+++ b/src/bin/sender/discovery/schedule/tests.rs
@@ -131,3 +131,20 @@
         assert_eq!(schedule.next_call(), now);
     }
 }
+
+/// Guards against a call that never begins: on a busy machine every timer may be late.
+#[test]
+fn late_call_is_put_off_once() {
+    const DELAY: Duration = Duration::from_millis(40);
+    let now = Instant::now();
+    let mut schedule = pushed(GRACE, 1, now);
+    schedule.begin_call(now);
+    for _ in 0..3 {
+        let on_time = schedule.next_call() + MAX_TIMER_DELAY;
+        assert!(!schedule.put_off_if_late(on_time));
+        assert!(schedule.put_off_if_late(schedule.next_call() + DELAY));
+        let late_again = schedule.next_call() + DELAY;
+        assert!(!schedule.put_off_if_late(late_again));
+        schedule.begin_call(late_again);
+    }
+}
--- a/tests/peers/agent.rs
+++ b/tests/peers/agent.rs
@@ -1,10 +1,10 @@
 //! A stub of discovery's agent on the sender's machine, to which changes of the list are pushed, with the
 //! faults of its side.
-use super::peers::{read_message, Request};
+use super::peers::{free_address, read_message, Request, TIMEOUT};
 use serde_json::{json, Value};
 use socket2::{Domain, Socket, Type};
-use std::io::{BufReader, Read, Write};
-use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::io::{self, BufReader, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
@@ -79,7 +79,7 @@
 
 impl Agent {
     pub fn new(instances: Vec<Value>) -> Agent {
-        let listener = listen((Ipv4Addr::LOCALHOST, 0).into(), ACCEPT_BACKLOG);
+        let listener = listen(free_address(), ACCEPT_BACKLOG);
         let address = listener.local_addr().unwrap();
         let state = State {
             generation: 1,
@@ -138,20 +138,33 @@
     /// Listens on another address. The old one refuses new connections and closes its open ones after
     /// `CLOSE_DELAY`.
     pub fn move_away(&self) {
-        let listener = listen((Ipv4Addr::LOCALHOST, 0).into(), ACCEPT_BACKLOG);
+        let listener = listen(free_address(), ACCEPT_BACKLOG);
         self.state().address = listener.local_addr().unwrap();
         spawn_listener(&self.shared, listener);
     }
 }
 
-/// Listens without blocking.
+/// Listens without blocking. A process that is just being started still holds a listener that was closed here,
+/// for a moment.
 fn listen(at: SocketAddr, backlog: i32) -> TcpListener {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    socket.set_reuse_address(true).unwrap();
-    socket.bind(&at.into()).unwrap();
-    socket.listen(backlog).unwrap();
-    socket.set_nonblocking(true).unwrap();
-    socket.into()
+    let until = Instant::now() + TIMEOUT;
+    loop {
+        match try_listen(at, backlog) {
+            Err(error) if error.kind() == ErrorKind::AddrInUse && Instant::now() < until => {
+                sleep(ACCEPT_INTERVAL)
+            }
+            listener => return listener.unwrap(),
+        }
+    }
+}
+
+fn try_listen(at: SocketAddr, backlog: i32) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(backlog)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket.into())
 }
 
 fn spawn_listener(shared: &Arc<Shared>, listener: TcpListener) {
