--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -9,33 +9,43 @@
 use std::thread;
 use std::time::Duration;
 
-/// Peers that connect without ever finishing a message.
-const PEERS: usize = 1_200;
+/// Descriptors of the sender. Clients may hold no more than a third of them for requests (TERMS).
+const SOCKETS: u32 = 1_024;
+/// Peers that connect without ever finishing a message. With the true client they stay below that third.
+const PEERS: usize = 336;
 /// What a peer sends of the body that it announces, and how much that is.
-const SENT_BODY: usize = 20_000;
-const ANNOUNCED_BODY: usize = 60_000;
+const SENT_BODY: usize = 60_000;
+const ANNOUNCED_BODY: usize = 65_000;
+/// A peer writes pieces of this length, with a short pause after each.
+const PIECE: usize = 4_000;
 /// When the crowd comes, and the end of the play, in milliseconds.
 const CROWD_AT: u64 = 2_000;
-const END: u64 = 17_000;
+const END: u64 = 30_000;
 
-/// A peer: begins a message, stops in the middle of it and stays until the sender ends the connection. Then it
-/// comes again.
+/// A peer: begins a message with headers of less than 8 KiB in all, stops in the middle of its body and stays until
+/// the sender ends the connection. Then it comes again at once.
 fn peer(number: usize, to: SocketAddr, ended: Arc<AtomicU64>) {
     let mut begun = format!(
         "POST /rate-push HTTP/1.1\r\nHost: api.internal\r\nX-Trace-Id: peer-{number}\r\nX-Qos: rate-push\r\n\
-         X-Expires-In-Ms: 20000\r\nContent-Length: {ANNOUNCED_BODY}\r\nX-Consignee: dest=1\r\n\r\n"
+         X-Expires-In-Ms: 20000\r\nContent-Length: {ANNOUNCED_BODY}\r\nX-Consignee: dest=1\r\n{}\r\n",
+        (0..92).map(|n| format!("X-Long-Name-Of-Header-{n}: {}\r\n", "y".repeat(58))).collect::<String>()
     )
     .into_bytes();
     begun.extend(std::iter::repeat(b'x').take(SENT_BODY));
     while ms() < END {
         if let Ok(mut stream) = TcpStream::connect_timeout(&to, Duration::from_secs(3)) {
-            let _ = stream.write_all(&begun);
+            for piece in begun.chunks(PIECE) {
+                if stream.write_all(piece).is_err() {
+                    break;
+                }
+                sleep_ms(5);
+            }
             let _ = stream.set_read_timeout(Some(Duration::from_secs(5)));
             let mut rest = [0; 512];
             while matches!(stream.read(&mut rest), Ok(n) if n > 0) {}
             ended.fetch_add(1, Ordering::SeqCst);
         }
-        sleep_ms(100);
+        sleep_ms(5);
     }
 }
 
@@ -60,7 +70,7 @@
         weight: 20.0,
     };
     let agent = Agent::start(&record, vec![listed("s-a", &a), listed("s-b", &b)]);
-    let deployment = Deployment { memory_mb: 32, sockets: 1_024, ..Deployment::default() };
+    let deployment = Deployment { memory_mb: 32, sockets: SOCKETS, ..Deployment::default() };
     let place = Place::new("n0");
     let mut process = place.start(&record, &deployment, agent.address(), &agent.list(), None);
     if !place.await_ready(&record, 20) {
@@ -71,7 +81,7 @@
         for number in 0..PEERS {
             let (to, ended) = (place.listen, ended.clone());
             let spawned = thread::Builder::new().stack_size(128 << 10).spawn(move || {
-                // The crowd gathers within a second or so.
+                // The crowd gathers within half a second.
                 sleep_ms(CROWD_AT.saturating_sub(ms()) + number as u64);
                 peer(number, to, ended);
             });
@@ -85,7 +95,8 @@
         let mut client = Client::new(to);
         for number in 0.. {
             let id = format!("m{number:04}");
-            let message = Message { id: &id, class: "rate-push", dest: 1, expires_ms: 20_000, body: b"rates" };
+            let message =
+                Message { id: &id, class: "rate-push", dest: 1, expires_ms: 20_000, body: b"rates" };
             client_record.line(&format!("client hands in {id}"));
             let answer = client.hand_in(&message);
             client_record.line(&format!("client's answer to {id}: {answer:?}"));
@@ -104,7 +115,8 @@
             record.line(&format!("memory {used} KiB, {} descriptors", process.descriptors()));
         }
         if used > limit {
-            record.line(&format!("memory {used} KiB is over the limit of {limit} KiB: the platform kills it"));
+            record
+                .line(&format!("memory {used} KiB is over the limit of {limit} KiB: the platform kills it"));
             process.kill(&record);
             finish(&record, BROKEN, &format!("killed for memory: {used} KiB of {limit} KiB"));
         }
--- a/review/standins-2/lib.rs
+++ b/review/standins-2/lib.rs
@@ -5,8 +5,8 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
 use std::os::unix::process::CommandExt;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, OnceLock};
@@ -91,7 +91,8 @@
 }
 
 pub fn signal(pid: u32, name: &str) {
-    let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {pid}")).stderr(Stdio::null()).status();
+    let _ =
+        Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {pid}")).stderr(Stdio::null()).status();
 }
 
 // ---------------------------------------------------------------- HTTP
@@ -170,7 +171,12 @@
     }
 }
 
-fn write_answer(stream: &mut TcpStream, code: u16, headers: &[(String, String)], body: &str) -> io::Result<()> {
+fn write_answer(
+    stream: &mut TcpStream,
+    code: u16,
+    headers: &[(String, String)],
+    body: &str,
+) -> io::Result<()> {
     let mut text = format!("HTTP/1.1 {code} X\r\nContent-Length: {}\r\n", body.len());
     for (name, value) in headers {
         text += &format!("{name}: {value}\r\n");
@@ -194,9 +200,13 @@
         Server::on(listener, handler)
     }
 
-    pub fn on(listener: TcpListener, handler: impl Fn(Request, u64) -> Answer + Send + Sync + 'static) -> Server {
+    pub fn on(
+        listener: TcpListener,
+        handler: impl Fn(Request, u64) -> Answer + Send + Sync + 'static,
+    ) -> Server {
         let address = listener.local_addr().unwrap();
-        let (handler, connections) = (Arc::new(handler), Arc::new(Mutex::new(HashMap::<u64, TcpStream>::new())));
+        let (handler, connections) =
+            (Arc::new(handler), Arc::new(Mutex::new(HashMap::<u64, TcpStream>::new())));
         let (stop, opened) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
         let server =
             Server { address, connections: connections.clone(), stop: stop.clone(), opened: opened.clone() };
@@ -307,7 +317,8 @@
 
 impl Agent {
     pub fn start(record: &Record, listed: Vec<Listed>) -> Agent {
-        let state = AgentState { generation: 41, listed, changes: Vec::new(), silent: false, notices: Vec::new() };
+        let state =
+            AgentState { generation: 41, listed, changes: Vec::new(), silent: false, notices: Vec::new() };
         let state = Arc::new((Mutex::new(state), Condvar::new()));
         let (shared, record) = (state.clone(), record.clone());
         let server = Server::start(move |request, _| agent_answer(&shared, &record, request));
@@ -490,7 +501,9 @@
                 }
                 HandIn::Answer(code)
             }
-            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => HandIn::TimedOut,
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+                HandIn::TimedOut
+            }
             Err(e) => HandIn::Closed(e.to_string()),
         }
     }
@@ -500,7 +513,9 @@
 pub fn read_status(stream: &mut TcpStream, within: Duration) -> io::Result<(u16, bool)> {
     stream.set_read_timeout(Some(within))?;
     let mut reader = BufReader::new(stream.try_clone()?);
-    let Some((first, headers)) = read_head(&mut reader)? else { return Err(io::ErrorKind::UnexpectedEof.into()) };
+    let Some((first, headers)) = read_head(&mut reader)? else {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    };
     read_body(&mut reader, &headers)?;
     let code = first.split(' ').nth(1).and_then(|c| c.parse().ok()).unwrap_or(0);
     Ok((code, headers.get("connection").is_some_and(|c| c.eq_ignore_ascii_case("close"))))
@@ -510,7 +525,8 @@
 pub fn call(to: SocketAddr, method: &str, path: &str, within_ms: u64) -> io::Result<u16> {
     let within = Duration::from_millis(within_ms);
     let mut stream = TcpStream::connect_timeout(&to, within)?;
-    stream.write_all(format!("{method} {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").as_bytes())?;
+    stream
+        .write_all(format!("{method} {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").as_bytes())?;
     read_status(&mut stream, within).map(|s| s.0)
 }
 
@@ -654,7 +670,12 @@
             child.env("EDGE_CONTROL", control.to_string());
         }
         // The sender ends with the case, however that ends.
-        unsafe { child.pre_exec(|| Ok(drop(prctl(PR_SET_PDEATHSIG, SIGKILL)))) };
+        unsafe {
+            child.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            })
+        };
         let child = child.spawn().unwrap_or_else(|e| cannot_run(&e.to_string()));
         CHILDREN.lock().unwrap().push(child.id());
         record.line(&format!("process {} of {} starts", child.id(), self.name));
