--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -41,7 +41,8 @@
             Answer::ok()
         })
     };
-    let servers = [("s-1a", 1), ("s-1b", 1), ("s-2a", 2), ("s-2b", 2)].map(|(name, cell)| (name, cell, endpoint(name, cell == 1)));
+    let servers = [("s-1a", 1), ("s-1b", 1), ("s-2a", 2), ("s-2b", 2)]
+        .map(|(name, cell)| (name, cell, endpoint(name, cell == 1)));
     let listed = servers.iter().map(|(name, cell, server)| Listed {
         name: name.to_string(),
         address: server.address,
@@ -64,7 +65,8 @@
         for number in 0.. {
             let id = format!("m{number:04}");
             let class = if number % 2 == 0 { "booking" } else { "rate-push" };
-            let message = Message { id: &id, class, dest: 1 + number / 2 % 2, expires_ms: 16_000, body: b"news" };
+            let message =
+                Message { id: &id, class, dest: 1 + number / 2 % 2, expires_ms: 16_000, body: b"news" };
             let answer = client.hand_in(&message);
             client_record.line(&format!("client's answer to {id}: {answer:?}"));
             sleep_ms(100);
@@ -102,7 +104,10 @@
     for (at, wait) in waits.iter() {
         let within = at + LET_THROUGH + SLACK..at + wait - SLACK.min(*wait);
         if let Some((call, id)) = calls.iter().find(|c| within.contains(&c.0)) {
-            let text = format!("told at {at} ms to wait for {wait} ms; called again for {id} after {} ms", call - at);
+            let text = format!(
+                "told at {at} ms to wait for {wait} ms; called again for {id} after {} ms",
+                call - at
+            );
             finish(&record, BROKEN, &text);
         }
     }
