Memory of clients' connections is bounded with their bodies

Cause: only bodies had a bound together. A connection held, as long as the body took, hyper's buffer with the raw headers and a second one, the parsed headers, a copy of the raw headers and the buffer of the lingering close, and the number of connections followed from descriptors alone. Bodies that grew side by side in doubled buffers left gaps in the heap.

Change: headers are validated and freed before the body is read; a scanner that keeps no bytes sees a Content-Length; hyper's buffer has its least size, 8 KiB; a body is kept in blocks of 4 KiB until it is complete; and connections get a quarter of the memory at 16 KiB each, which is what they hold at most.

The test of the copied headers goes with the copy; those of the scanner replace it and ask more (names in parts, case, spaces, other names).

--- a/src/bin/sender/main.rs
+++ b/src/bin/sender/main.rs
@@ -172,7 +172,7 @@
     let settings = &config.settings;
     // Some descriptors are for the listener, the watch, notices and files. Of the rest half are for clients,
     // a sixteenth for clients that are only answered 503, and the others for calls and idle connections to
-    // endpoints.
+    // endpoints. There are fewer clients if there is memory only for fewer.
     let sockets = config
         .limits
         .sockets
@@ -201,6 +201,7 @@
     let program_settings = config.program_settings.clone();
     let effects = settings.classes.iter().map(|c| c.effect).collect();
     let limits = config.catalogue_limits;
+    let connections_in_memory = config.limits.connections_in_memory();
     let body_budget = server::BodyBudget::new(config.limits.request_bodies_bytes());
     let client = (directory.clone(), client);
     let mut core = core::Core::new(config, journal, maintenance, client, inbox, control_inbox, notices_in);
@@ -228,7 +229,7 @@
         listener.try_clone().and_then(TcpListener::from_std).map_err(|e| format!("{listen}: {e}"))?;
     let (set_phase, phase) = watch::channel(server::Phase::Serving);
     let (moved_in, moved) = mpsc::unbounded_channel();
-    let max_connections = (sockets / 2, sockets / 16);
+    let max_connections = ((sockets / 2).min(connections_in_memory), sockets.min(connections_in_memory) / 16);
     let server = Rc::new(server::Server::new(
         (core_in.clone(), directory.clone()),
         program_settings,
--- a/src/bin/sender/server.rs
+++ b/src/bin/sender/server.rs
@@ -1,7 +1,9 @@
 //! The HTTP server for clients: accepts connections, validates requests and passes their messages to the
 //! core.
 mod connection_state;
+mod head_scanner;
 mod request_body;
+mod validation;
 
 use crate::body::ReadError;
 use crate::client::MAX_BODY;
@@ -12,17 +14,15 @@
 use bytes::Bytes;
 use connection_state::{ConnectionState, EvictionClass, ObservedReader};
 use http_body_util::Full;
-use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderValue, ALLOW, CONNECTION, HOST, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, ALLOW, CONNECTION, RETRY_AFTER};
 use hyper::server::conn::http1::{Builder, Parts};
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use percent_encoding::percent_decode_str;
 pub use request_body::BodyBudget;
 use request_body::RequestBodyError;
 use sender::api::Effect;
-use sender::records::{unix_time_ms, AcceptedMessage};
 use sender::settings::ProgramSettings;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -36,6 +36,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
+use validation::{MessageRequest, Validated};
 
 /// How long a connection may take from its opening to the end of its first request, from the first byte of a
 /// later request to the end of its headers, from there to the end of its body, and to complete a request's
@@ -44,16 +45,14 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How long accepting pauses after it has failed.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
-/// Maximum size of a request's headers in total. The headers of a message take a few hundred bytes.
-const MAX_HEADERS_BYTES: usize = 8 << 10;
-/// Maximum size of a request line with headers that are not complete, and of what is read ahead of a body.
-/// More than headers of `MAX_HEADERS_BYTES` take with their separators.
-const MAX_READ_BUFFER_BYTES: usize = 16 << 10;
+/// Maximum size of a request line with its headers, and of what is read ahead of a body: hyper's smallest
+/// buffer. The headers of a message take a few hundred bytes.
+const MAX_HEAD_BYTES: usize = 8 << 10;
+/// Memory that a connection holds beside the body of its request: its task, hyper's buffer and state, and what
+/// the allocator adds.
+pub const CONNECTION_BYTES: usize = 16 << 10;
 /// How long a connection may stay idle after a request.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
-/// Maximum length of a header value that is parsed as text.
-const MAX_VALUE_BYTES: usize = 256;
-
 /// What the server does with clients' connections.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -193,10 +192,7 @@
 
     /// Returns whether any request that has been read, in full or in part, has no answer yet.
     pub fn has_unanswered_requests(&self) -> bool {
-        self.connections
-            .borrow()
-            .values()
-            .any(|state| !state.lingering.get() && !state.head.borrow().is_empty())
+        self.connections.borrow().values().any(|state| !state.lingering.get() && state.head.get().has_begun())
     }
 
     fn admit_new(self: &Rc<Self>, stream: TcpStream) {
@@ -227,7 +223,7 @@
         let last_used = now.checked_sub(client.idle_time).unwrap_or(now);
         let state =
             Rc::new(ConnectionState::new(last_used, !client.had_request || !client.buffered.is_empty()));
-        state.record_head(&client.buffered);
+        state.scan_head(&client.buffered);
         let id = self.next_connection_id.replace(self.next_connection_id.get() + 1);
         self.connections.borrow_mut().insert(id, state.clone());
         tokio::task::spawn_local(async move {
@@ -269,8 +265,6 @@
                 state.unanswered.set(state.unanswered.get() - 1);
                 state.request_complete.set(false);
                 state.request_started.set(None);
-                // Taken rather than cleared, to free the buffer: there may be as many idle connections as the
-                // limit.
                 state.head.take();
                 state.last_used.set(Instant::now());
                 state.answered.notify_one();
@@ -281,7 +275,7 @@
         let writer = Socket::new(stream);
         let reader = ObservedReader { inner: writer.clone(), state: state.clone() };
         let io = TokioIo::new(join(Cursor::new(buffered).chain(reader), writer));
-        let mut connection = Builder::new().max_buf_size(MAX_READ_BUFFER_BYTES).serve_connection(io, service);
+        let mut connection = Builder::new().max_buf_size(MAX_HEAD_BYTES).serve_connection(io, service);
         let mut handing_over = false;
         // When closing began, after a change of the phase or an eviction.
         let mut closing_since: Option<Instant> = None;
@@ -350,8 +344,9 @@
         // What is read from here on could no longer be answered, so it is not parsed as a request.
         state.lingering.set(true);
         if let (Some(stream), _) = into_stream(connection.into_parts()) {
+            // On the heap, so that connections that are open have no room for it.
             tokio::select! {
-                () = linger::close(stream) => {}
+                () = Box::pin(linger::close(stream)) => {}
                 () = state.evict.notified() => {}
             }
         }
@@ -365,49 +360,13 @@
         body_by: Instant,
         state: &ConnectionState,
     ) -> Response<Full<Bytes>> {
+        // The headers are freed here, as the body may come slowly.
         let (head, body) = request.into_parts();
-        if head.headers.contains_key(TRANSFER_ENCODING) && !state.lacks_content_length() {
-            // Parsers disagree on where this request ends, so what follows must not be read as another
-            // request.
-            return with_connection_close(text_response(StatusCode::BAD_REQUEST, "the body has two lengths"));
-        }
-        if head.headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum::<usize>()
-            > MAX_HEADERS_BYTES
-        {
-            return with_connection_close(text_response(
-                StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-                "the headers are over 8 KiB",
-            ));
-        }
-        let path = head.uri.path();
-        if path == "/healthz" {
-            return match head.method {
-                Method::GET | Method::HEAD if self.directory.has_list() => text_response(StatusCode::OK, ""),
-                // Without a list, every accepted message would wait for the first one.
-                Method::GET | Method::HEAD => {
-                    text_response(StatusCode::SERVICE_UNAVAILABLE, "no list of endpoints\n")
-                }
-                _ => method_not_allowed("GET, HEAD"),
-            };
-        }
-        // Clients send a class name that is not ASCII either as UTF-8 or percent-encoded.
-        let class_name = path.trim_start_matches('/').split('/').next().unwrap_or_default();
-        let class_name = percent_decode_str(class_name).decode_utf8_lossy();
-        let Some(class) = self.settings.classes.iter().position(|c| *c == class_name && !c.is_empty()) else {
-            return text_response(StatusCode::NOT_FOUND, "no such class of message");
-        };
-        if head.method != Method::POST {
-            return method_not_allowed("POST");
-        }
-        if body.size_hint().lower() > MAX_BODY as u64 {
-            return text_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB");
-        }
-        let (mut message, time_left) = match self.parse_headers(&head.headers, class) {
-            Ok(parsed) => parsed,
-            Err(reason) => return text_response(StatusCode::BAD_REQUEST, reason),
+        let validated = self.validate(head, &body, state);
+        let MessageRequest { mut message, deadline } = match validated {
+            Validated::Message(request) => *request,
+            Validated::Answered(response) => return response,
         };
-        let deadline = Instant::now() + time_left;
-        message.deadline_ms = unix_time_ms() + time_left.as_millis() as i64;
         let reservation = self.body_budget.begin();
         message.body = match timeout_at(body_by, request_body::read(body, MAX_BODY, &reservation)).await {
             Ok(Ok(body)) => body,
@@ -432,78 +391,6 @@
             Err(_) => unavailable(None),
         }
     }
-
-    /// Parses a message's headers. Returns the message, still without its number, deadline and body, and the
-    /// time left to deliver it.
-    fn parse_headers(
-        &self,
-        headers: &HeaderMap,
-        class: usize,
-    ) -> Result<(AcceptedMessage, Duration), &'static str> {
-        // A repeated header is ambiguous: another parser may use the other value.
-        let unique = [
-            "host",
-            "x-trace-id",
-            "x-qos",
-            "x-customer",
-            "x-expires-in-ms",
-            "x-consignee",
-            "idempotency-key",
-        ];
-        if unique.iter().any(|name| headers.get_all(*name).iter().nth(1).is_some()) {
-            return Err("a header comes twice");
-        }
-        if !headers.contains_key(HOST) {
-            return Err("Host is missing");
-        }
-        let text = |name: &str| {
-            let value = headers.get(name)?;
-            let read = std::str::from_utf8(value.as_bytes()).map(str::trim).ok();
-            Some(read.filter(|t| t.len() <= MAX_VALUE_BYTES))
-        };
-        let class_name = &self.settings.classes[class];
-        if text("x-qos") != Some(Some(class_name.as_str())) {
-            return Err("X-Qos is missing, or not the class in the path");
-        }
-        let trace_id = text("x-trace-id").flatten().filter(|t| !t.is_empty());
-        let trace_id = trace_id.ok_or("X-Trace-Id is missing or malformed")?;
-        let tenant = match text("x-customer") {
-            None if self.settings.tenants.is_empty() => "",
-            Some(Some(t))
-                if self.settings.tenants.is_empty() || self.settings.tenants.iter().any(|n| n == t) =>
-            {
-                t
-            }
-            _ => return Err("X-Customer is missing or unknown"),
-        };
-        let time_left = text("x-expires-in-ms").flatten().and_then(|t| t.parse::<u32>().ok());
-        let time_left = time_left.ok_or("X-Expires-In-Ms is missing or malformed")?;
-        let dest = text("x-consignee").flatten().and_then(|t| {
-            t.split([',', ';']).find_map(|p| p.trim().strip_prefix("dest=")?.trim().parse::<u64>().ok())
-        });
-        let dest = dest.ok_or("X-Consignee is missing or malformed")?;
-        let idempotency_key = match text("idempotency-key") {
-            None => None,
-            Some(Some(key)) if !key.is_empty() => Some(key.to_string()),
-            Some(_) => return Err("Idempotency-Key is malformed"),
-        };
-        // Without a key, a repeated attempt could take effect twice.
-        if idempotency_key.is_none() && self.effects[class] == Effect::Keyed {
-            return Err("Idempotency-Key is missing");
-        }
-        let (class, tenant, trace_id) = (class_name.clone(), tenant.to_string(), trace_id.to_string());
-        let message = AcceptedMessage {
-            id: 0,
-            class,
-            tenant,
-            dest,
-            trace_id,
-            idempotency_key,
-            deadline_ms: 0,
-            body: Bytes::new(),
-        };
-        Ok((message, Duration::from_millis(time_left.into())))
-    }
 }
 
 /// Returns a response with a plain text as its body.
--- a/src/bin/sender/server/connection_state.rs
+++ b/src/bin/sender/server/connection_state.rs
@@ -1,7 +1,7 @@
 //! The state of a client's connection: what has been read of its next request, and when it may be evicted.
-use super::MAX_HEADERS_BYTES;
+use super::head_scanner::HeadScanner;
 use crate::socket::Socket;
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -13,7 +13,6 @@
 
 /// How long a connection must have been idle before it may be evicted for another client.
 const MIN_IDLE_BEFORE_EVICTION: Duration = Duration::from_secs(2);
-const HEAD_END: &[u8] = b"\r\n\r\n";
 
 /// The state of a client's connection that decides which connection is evicted when there are too many.
 pub struct ConnectionState {
@@ -25,9 +24,8 @@
     pub request_started: Cell<Option<Instant>>,
     /// A request has been read in full and has no answer yet.
     pub request_complete: Cell<bool>,
-    /// The raw headers of the next request. They are kept because hyper removes a Content-Length that it
-    /// ignores.
-    pub head: RefCell<Vec<u8>>,
+    /// What has been seen of the headers of the next request.
+    pub head: Cell<HeadScanner>,
     /// Requests without an answer.
     pub unanswered: Cell<u32>,
     /// The next answer is sent with `Connection: close`.
@@ -51,7 +49,7 @@
             last_read: Cell::new(Instant::now()),
             request_started: Cell::new(request_started.then(Instant::now)),
             request_complete: Cell::default(),
-            head: RefCell::default(),
+            head: Cell::default(),
             unanswered: Cell::default(),
             closing: Cell::default(),
             lingering: Cell::default(),
@@ -62,26 +60,11 @@
         }
     }
 
-    /// Appends bytes of the next request to `head`, up to the end of its headers.
-    pub fn record_head(&self, read: &[u8]) {
-        let mut head = self.head.borrow_mut();
-        if head.ends_with(HEAD_END) {
-            return;
-        }
-        let room = MAX_HEADERS_BYTES.saturating_sub(head.len());
-        head.extend_from_slice(&read[..read.len().min(room)]);
-        if let Some(end) = head.windows(HEAD_END.len()).position(|w| w == HEAD_END) {
-            head.truncate(end + HEAD_END.len());
-        }
-    }
-
-    /// Returns whether the headers are complete and contain no Content-Length.
-    pub fn lacks_content_length(&self) -> bool {
-        let head = self.head.borrow();
-        let header_name =
-            |line: &[u8]| line.split(|&b| b == b':').next().map(|n| n.trim_ascii().to_ascii_lowercase());
-        let is_length = |line: &[u8]| header_name(line).as_deref() == Some(b"content-length");
-        head.ends_with(HEAD_END) && !head.split(|&b| b == b'\n').any(is_length)
+    /// Notes bytes that have been read of the next request.
+    pub fn scan_head(&self, read: &[u8]) {
+        let mut head = self.head.get();
+        head.scan(read);
+        self.head.set(head);
     }
 
     /// Returns the rank by which connections are evicted, the lowest first; None if this one may not be
@@ -133,7 +116,7 @@
         let done = Pin::new(&mut self.inner).poll_read(cx, buf);
         if buf.filled().len() > before {
             self.state.last_read.set(Instant::now());
-            self.state.record_head(&buf.filled()[before..]);
+            self.state.scan_head(&buf.filled()[before..]);
             if self.state.request_started.get().is_none() {
                 self.state.request_started.set(Some(Instant::now()));
                 self.state.request_begun.notify_one();
@@ -142,6 +125,3 @@
         done
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/src/bin/sender/server/request_body.rs
+++ b/src/bin/sender/server/request_body.rs
@@ -5,7 +5,7 @@
 //! up, the unfinished body that has been silent longest is dropped and its request refused.
 use crate::body::{next_data, ReadError};
 use bytes::Bytes;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -13,6 +13,9 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+/// Size of the blocks in which a body is kept while it is read.
+const BLOCK_BYTES: usize = 4 << 10;
+
 /// Why the body of a request was not read.
 #[derive(Debug, Error)]
 pub enum RequestBodyError {
@@ -142,13 +145,62 @@
     }
 }
 
+/// A body that is being read.
+///
+/// It is kept in blocks of one size, as a buffer that grows leaves gaps behind in the heap: with hundreds of
+/// bodies that grow side by side these took as much memory as the bodies.
+#[derive(Default)]
+struct BodyBlocks {
+    blocks: Vec<Vec<u8>>,
+    bytes: usize,
+}
+
+impl BodyBlocks {
+    /// Appends data, for which the reservation grows by whole blocks. `expected` is the size of the body if
+    /// it is known.
+    async fn append(
+        &mut self,
+        mut data: &[u8],
+        expected: Option<usize>,
+        reservation: &Reservation<'_>,
+    ) -> Result<(), RequestBodyError> {
+        while !data.is_empty() {
+            let room = self.blocks.last().map_or(0, |block| block.capacity() - block.len());
+            if room == 0 {
+                let left = expected.map_or(BLOCK_BYTES, |whole| whole.saturating_sub(self.bytes));
+                let size = left.clamp(1, BLOCK_BYTES);
+                reservation.grow(size).await?;
+                self.blocks.push(Vec::with_capacity(size));
+                continue;
+            }
+            let (now, later) = data.split_at(room.min(data.len()));
+            if let Some(block) = self.blocks.last_mut() {
+                block.extend_from_slice(now);
+            }
+            self.bytes += now.len();
+            data = later;
+        }
+        Ok(())
+    }
+
+    fn into_bytes(mut self) -> Bytes {
+        if self.blocks.len() > 1 {
+            return self.blocks.concat().into();
+        }
+        let mut only = self.blocks.pop().unwrap_or_default();
+        only.shrink_to_fit();
+        only.into()
+    }
+}
+
 /// Reads a body of at most `max_bytes`. The reservation must be kept for as long as the body is.
 pub async fn read(
     mut body: Incoming,
     max_bytes: usize,
     reservation: &Reservation<'_>,
 ) -> Result<Bytes, RequestBodyError> {
-    let mut bytes = Vec::new();
+    let expected = body.size_hint().exact().map(|bytes| bytes as usize);
+    let mut blocks = BodyBlocks::default();
     loop {
         let data = tokio::select! {
             biased;
@@ -156,20 +208,13 @@
             data = next_data(&mut body) => data?,
         };
         let Some(data) = data else { break };
-        let needed = bytes.len() + data.len();
-        if needed > max_bytes {
+        if blocks.bytes + data.len() > max_bytes {
             return Err(ReadError::TooLong.into());
         }
-        if needed > bytes.capacity() {
-            let capacity = needed.max(2 * bytes.capacity()).min(max_bytes);
-            reservation.grow(capacity - bytes.capacity()).await?;
-            bytes.reserve_exact(capacity - bytes.len());
-        }
-        bytes.extend_from_slice(&data);
+        blocks.append(&data, expected, reservation).await?;
     }
     reservation.complete();
-    bytes.shrink_to_fit();
-    Ok(bytes.into())
+    Ok(blocks.into_bytes())
 }
 
 #[cfg(test)]
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -137,6 +137,112 @@
     wait_until_settled(&node, &endpoint);
 }
 
+/// How a crowd of slow peers writes, so that the sender reads each request in many parts.
+const PIECE_BYTES: usize = 4_000;
+const PAUSE_BETWEEN_PIECES: Duration = Duration::from_millis(5);
+
+/// How long a crowd of slow peers comes again.
+const SLOW_CROWD_TIME: Duration = Duration::from_secs(3);
+
+/// Sends bytes in pieces and stays until the sender answers or closes; then comes again at once, for a time.
+/// Returns the longest time from a connection to its answer or close.
+fn send_slowly_and_return(sender: SocketAddr, bytes: &[u8]) -> Duration {
+    let send_once = || {
+        let mut stream = TcpStream::connect(sender).unwrap();
+        let connected = Instant::now();
+        stream.set_write_timeout(Some(TIMEOUT)).unwrap();
+        stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+        for piece in bytes.chunks(PIECE_BYTES) {
+            // The sender may answer or close before it has read everything.
+            if stream.write_all(piece).is_err() {
+                break;
+            }
+            sleep(PAUSE_BETWEEN_PIECES);
+        }
+        let _ = stream.read(&mut [0; 64]);
+        connected.elapsed()
+    };
+    let until = Instant::now() + SLOW_CROWD_TIME;
+    let mut longest = Duration::ZERO;
+    while Instant::now() < until {
+        longest = longest.max(send_once());
+    }
+    longest
+}
+
+/// Has a crowd of slow peers send the same bytes again and again.
+fn start_slow_crowd(sender: SocketAddr, count: usize, bytes: &[u8]) -> Vec<JoinHandle<Duration>> {
+    let start = |_| {
+        let bytes = bytes.to_vec();
+        spawn(move || send_slowly_and_return(sender, &bytes))
+    };
+    (0..count).map(start).collect()
+}
+
+/// A sound request with further headers, of whose body only the beginning is sent.
+fn unfinished_body_behind(further_headers: &str) -> Vec<u8> {
+    const ANNOUNCED_BYTES: usize = 65_000;
+    const SENT_BYTES: usize = 60_000;
+    let whole = String::from_utf8(message("alert", "stranger", 7, 9_000, b"")).unwrap();
+    let length = format!("{further_headers}Content-Length: {ANNOUNCED_BYTES}\r\n");
+    let mut request = whole.replace("Content-Length: 0\r\n", &length).into_bytes();
+    request.resize(request.len() + SENT_BYTES, b'x');
+    request
+}
+
+/// Guards against a sender killed for its memory: what connections hold beside the bodies of their requests
+/// (buffers, headers, tasks) was not counted, and took a sender with many descriptors over 32 MB.
+#[test]
+fn slow_bodies_behind_long_headers_stay_within_memory_limit() {
+    let endpoint = Peer::new(|_| ok());
+    let (_discovery, node) = start_with_little_memory(&endpoint, MANY_DESCRIPTORS);
+    let long: String = (0..90).map(|n| format!("X-Padding-{n}: {}\r\n", "y".repeat(58))).collect();
+    let request = unfinished_body_behind(&long);
+    let crowd = start_slow_crowd(node.address, crowd_size(MANY_DESCRIPTORS), &request);
+    assert_crowd_is_harmless(&node, crowd);
+    wait_until_settled(&node, &endpoint);
+}
+
+/// Guards against the same by headers that take many times their length once they are parsed.
+#[test]
+fn slow_bodies_behind_many_short_headers_stay_within_memory_limit() {
+    let endpoint = Peer::new(|_| ok());
+    let (_discovery, node) = start_with_little_memory(&endpoint, MANY_DESCRIPTORS);
+    let short: String = (0..90).map(|n| format!("x{n}:\r\n")).collect();
+    let request = unfinished_body_behind(&short);
+    let crowd = start_slow_crowd(node.address, crowd_size(MANY_DESCRIPTORS), &request);
+    assert_crowd_is_harmless(&node, crowd);
+    wait_until_settled(&node, &endpoint);
+}
+
+/// Guards against the same by peers that hold more connections than clients may: all that the sender lets in.
+#[test]
+fn slow_bodies_on_all_connections_stay_within_memory_limit() {
+    const PEERS: usize = 700;
+    let endpoint = Peer::new(|_| ok());
+    let (_discovery, node) = start_with_little_memory(&endpoint, MANY_DESCRIPTORS);
+    let crowd = start_slow_crowd(node.address, PEERS, &unfinished_body_behind(""));
+    let mut peak = 0;
+    while crowd.iter().any(|peer| !peer.is_finished()) {
+        peak = peak.max(node.anonymous_memory_kb());
+        sleep(SAMPLE_INTERVAL);
+    }
+    println!("highest memory of the sender's own: {peak} kB");
+    assert!(peak < MEMORY_MB * 1_000, "{peak} kB of {MEMORY_MB} MB");
+    wait_until_settled(&node, &endpoint);
+}
+
+/// Guards against the same by connections alone: hundreds that begin a request line and no more.
+#[test]
+fn begun_requests_on_all_connections_stay_within_memory_limit() {
+    let endpoint = Peer::new(|_| ok());
+    let (_discovery, node) = start_with_little_memory(&endpoint, MANY_DESCRIPTORS);
+    let head = format!("POST /alert HTTP/1.1\r\n{}", "a:\r\n".repeat(1_500));
+    let crowd = start_slow_crowd(node.address, crowd_size(MANY_DESCRIPTORS), head.as_bytes());
+    assert_crowd_is_harmless(&node, crowd);
+    wait_until_settled(&node, &endpoint);
+}
+
 /// Guards against the same on the way out: the unfinished headers of many answers at once.
 #[test]
 fn unfinished_headers_of_answers_stay_within_memory_limit() {
