A long list that falls silent puts off the next call no longer than others

Cause: the schedule plans a call within the grace of drains, but a list of over 64 KiB that had begun to come overruled it until it had made no progress for 2.5 s; the log shows calls 2.5 s apart.

Change: the schedule alone decides. Where lists are pushed, a long list without progress puts a call off for the interval, as any call that is not answered. A younger call that brings a long list as well replaces an older one that has made no progress since the younger call began. Where lists are requested nothing changes.

--- a/src/bin/sender/discovery.rs
+++ b/src/bin/sender/discovery.rs
@@ -110,11 +110,9 @@
         self.schedule.restart(Instant::now());
     }
 
-    /// Returns when the next call is due. A long list that keeps coming puts it off, as the next call might
-    /// bring the same list once more.
+    /// Returns when the next call is due. A long list that keeps coming puts it off.
     fn next_call(&self) -> Instant {
-        let due = self.schedule.next_call();
-        self.calls.put_off_until().map_or(due, |until| until.max(due))
+        self.schedule.next_call(self.calls.last_list_progress())
     }
 
     /// Begins a call, unless a long list has put it off, or the sender was held up until now.
--- a/src/bin/sender/discovery/calls.rs
+++ b/src/bin/sender/discovery/calls.rs
@@ -8,14 +8,11 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Duration;
 use tokio::time::Instant;
 
 /// Maximum number of calls that are out at the same time, each with a connection. With fewer, an agent that
 /// takes long for an answer would mostly work for calls that have been dropped.
 const MAX_CALLS: usize = 6;
-/// How long a long list may make no progress before a younger call begins, which might bring it once more.
-const MAX_LIST_SILENCE: Duration = Duration::from_millis(2_500);
 
 /// The list and the connection that a call brought.
 pub type Fetched = Result<(LoadedList, Connection), FetchError>;
@@ -23,6 +20,7 @@
 /// A call that is out.
 struct Call {
     number: u64,
+    begun_at: Instant,
     progress: Rc<Cell<BodyProgress>>,
     result: Pin<Box<dyn Future<Output = Fetched>>>,
 }
@@ -32,12 +30,12 @@
         self.progress.get() != BodyProgress::Short
     }
 
-    /// Returns until when its list puts off a younger call. None if no long list is coming.
-    fn puts_off_until(&self, now: Instant) -> Option<Instant> {
+    /// Returns when its long list last made progress. None if no long list is coming.
+    fn last_progress(&self, now: Instant) -> Option<Instant> {
         match self.progress.get() {
             BodyProgress::Short => None,
-            BodyProgress::Waiting(since) => Some(since + MAX_LIST_SILENCE),
-            BodyProgress::Reading => Some(now + MAX_LIST_SILENCE),
+            BodyProgress::Waiting(since) => Some(since),
+            BodyProgress::Reading => Some(now),
         }
     }
 }
@@ -80,14 +78,14 @@
         let shared_progress = progress.clone();
         let result =
             Box::pin(async move { fetch_list(&request, connection, &reader, &shared_progress).await });
-        self.calls.push(Call { number: self.last_number, progress, result });
+        self.calls.push(Call { number: self.last_number, begun_at: Instant::now(), progress, result });
         self.last_number
     }
 
-    /// Returns until when a long list that is coming puts off the next call.
-    pub fn put_off_until(&self) -> Option<Instant> {
+    /// Returns when a long list that is coming last made progress. None if there is none.
+    pub fn last_list_progress(&self) -> Option<Instant> {
         let now = Instant::now();
-        self.calls.iter().filter_map(|call| call.puts_off_until(now)).max()
+        self.calls.iter().filter_map(|call| call.last_progress(now)).max()
     }
 
     /// Waits until a call has ended, and removes it; returns its number and result. Waits forever if there
@@ -111,13 +109,14 @@
         Poll::Pending
     }
 
-    /// Drops a call whose list has turned out to be long if another long one is coming, or else that one if
-    /// it has been silent: memory is for one. Returns whether the call at `index` is still there.
+    /// Drops a call whose list has turned out to be long if another long one has made progress since the call
+    /// began, or else that other one: memory is for one. Returns whether the call at `index` is still there.
     fn keep_one_long_list(&mut self, index: usize) -> bool {
         let now = Instant::now();
         let other = (0..self.calls.len()).find(|&i| i != index && self.calls[i].is_long());
         let Some(other) = other else { return true };
-        if self.calls[other].puts_off_until(now).is_some_and(|until| until > now) {
+        let begun_at = self.calls[index].begun_at;
+        if self.calls[other].last_progress(now).is_some_and(|progress| progress >= begun_at) {
             self.drop_call(index, "another brings the same list");
             return false;
         }
--- a/src/bin/sender/discovery/schedule.rs
+++ b/src/bin/sender/discovery/schedule.rs
@@ -22,6 +22,9 @@
 /// drawn, so that senders do not stay in step.
 const MIN_INTERVAL_SHARE: f64 = 0.75;
 
+/// How long a long list may make no progress, where lists are requested, before a younger call begins.
+const MAX_LIST_SILENCE: Duration = Duration::from_millis(2_500);
+
 /// A timer that is late by more than this shows that the sender was held up. Answers that have come meanwhile
 /// are read first, for which this pause is enough.
 const MAX_TIMER_DELAY: Duration = Duration::from_millis(20);
@@ -66,9 +69,14 @@
         CallSchedule { interval, backoff, next_call: now, immediate: true, was_put_off: false }
     }
 
-    /// Returns when the next call is due, beside those that are out.
-    pub fn next_call(&self) -> Instant {
-        self.next_call
+    /// Returns when the next call is due, beside those that are out. `list_progress` is when a long list that
+    /// is coming last made progress.
+    ///
+    /// The call might bring the same list once more, so it is put off as long as the list keeps coming. Where
+    /// lists are pushed, a silent list puts it off for no longer than any other call that is not answered.
+    pub fn next_call(&self, list_progress: Option<Instant>) -> Instant {
+        let allowed_silence = self.interval.unwrap_or(MAX_LIST_SILENCE);
+        list_progress.map_or(self.next_call, |progress| self.next_call.max(progress + allowed_silence))
     }
 
     /// Returns how many calls may be out unanswered before discovery counts as failing. Where lists are
--- a/src/bin/sender/discovery/schedule/tests.rs
+++ b/src/bin/sender/discovery/schedule/tests.rs
@@ -24,7 +24,7 @@
 fn play(schedule: &mut CallSchedule, mut now: Instant, fates: &[Fate], rounds: usize) -> Vec<Instant> {
     let mut began = Vec::new();
     for round in 0..rounds {
-        now = now.max(schedule.next_call());
+        now = now.max(schedule.next_call(None));
         began.push(now);
         let wait = schedule.begin_call(now);
         match fates[round % fates.len()] {
@@ -35,7 +35,7 @@
             Fate::Silence => {}
             Fate::Fails(failure, after) => {
                 // A younger call begins if this one takes longer.
-                if now + after < schedule.next_call() {
+                if now + after < schedule.next_call(None) {
                     now += after;
                     schedule.note_failure(failure, now);
                 }
@@ -115,8 +115,8 @@
         schedule.begin_call(now);
         schedule.note_list(now);
         let wait = schedule.begin_call(now);
-        assert!(schedule.next_call() - (now + wait) <= Duration::from_millis(1_600));
-        assert_eq!(schedule.begin_call(schedule.next_call()), Duration::ZERO);
+        assert!(schedule.next_call(None) - (now + wait) <= Duration::from_millis(1_600));
+        assert_eq!(schedule.begin_call(schedule.next_call(None)), Duration::ZERO);
     }
 }
 
@@ -126,9 +126,9 @@
     for mut schedule in [pushed(GRACE, 1, now), requested(3, 1, now)] {
         schedule.begin_call(now);
         schedule.note_failure(CallFailure::OverLimits, now);
-        assert!(schedule.next_call() - now >= Duration::from_secs(7));
+        assert!(schedule.next_call(None) - now >= Duration::from_secs(7));
         schedule.restart(now);
-        assert_eq!(schedule.next_call(), now);
+        assert_eq!(schedule.next_call(None), now);
     }
 }
 
@@ -140,11 +140,34 @@
     let mut schedule = pushed(GRACE, 1, now);
     schedule.begin_call(now);
     for _ in 0..3 {
-        let on_time = schedule.next_call() + MAX_TIMER_DELAY;
+        let on_time = schedule.next_call(None) + MAX_TIMER_DELAY;
         assert!(!schedule.put_off_if_late(on_time));
-        assert!(schedule.put_off_if_late(schedule.next_call() + DELAY));
-        let late_again = schedule.next_call() + DELAY;
+        assert!(schedule.put_off_if_late(schedule.next_call(None) + DELAY));
+        let late_again = schedule.next_call(None) + DELAY;
         assert!(!schedule.put_off_if_late(late_again));
         schedule.begin_call(late_again);
     }
 }
+
+/// Guards against a long list that falls silent in its middle and hides a drain.
+#[test]
+fn silent_long_list_puts_off_pushed_call_within_grace() {
+    let now = Instant::now();
+    let mut schedule = pushed(GRACE, 1, now);
+    schedule.begin_call(now);
+    schedule.note_list(now);
+    schedule.begin_call(now);
+    let planned = schedule.next_call(None);
+    assert_eq!(schedule.next_call(Some(now)), planned);
+    let progress = now + Duration::from_millis(100);
+    let next_call = schedule.next_call(Some(progress));
+    assert!(next_call > planned, "a list that keeps coming puts off the call");
+    assert!(next_call + MAX_STALL + APPLY_TIME <= progress + GRACE);
+}
+
+#[test]
+fn long_list_may_be_silent_for_longer_where_lists_are_requested() {
+    let now = Instant::now();
+    let schedule = requested(3, 1, now);
+    assert_eq!(schedule.next_call(Some(now)), now + MAX_LIST_SILENCE);
+}
--- a/tests/peers/agent.rs
+++ b/tests/peers/agent.rs
@@ -52,6 +52,13 @@
     ];
 }
 
+/// How an agent answers a request for changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChangeAnswer {
+    Changes,
+    WholeList,
+}
+
 struct State {
     generation: u64,
     instances: Vec<Value>,
@@ -62,6 +69,10 @@
     work: Duration,
     /// Number of times that the open watches have fallen silent.
     silenced: u64,
+    /// What is answered to a request for changes, if there are any.
+    change_answer: ChangeAnswer,
+    /// The next answer that brings anything new is the whole list, and falls silent in its middle.
+    breaks_off_next: bool,
     address: SocketAddr,
 }
 
@@ -88,6 +99,8 @@
             fault: AgentFault::None,
             work: Duration::ZERO,
             silenced: 0,
+            change_answer: ChangeAnswer::Changes,
+            breaks_off_next: false,
             address,
         };
         let shared = Arc::new(Shared { state: Mutex::new(state), changed: Condvar::new() });
@@ -135,6 +148,16 @@
         self.shared.changed.notify_all();
     }
 
+    /// Answers an open watch, or the next request, with the whole list, which falls silent in its middle. Other
+    /// requests are answered in full.
+    pub fn break_off_whole_list(&self, further: ChangeAnswer) {
+        let mut state = self.state();
+        state.generation += 1;
+        state.breaks_off_next = true;
+        state.change_answer = further;
+        self.shared.changed.notify_all();
+    }
+
     /// Listens on another address. The old one refuses new connections and closes its open ones after
     /// `CLOSE_DELAY`.
     pub fn move_away(&self) {
@@ -282,16 +305,17 @@
             AgentFault::Unreadable => {
                 return Answer::Bytes(response("200 OK", "{\"generation\":\"none\",\"instances\":[{]}"));
             }
-            AgentFault::HalfAnswers => {
-                let mut half = response("200 OK", &list_since(&state, None));
-                half.truncate(half.len() / 2);
-                return Answer::Part(half);
-            }
+            AgentFault::HalfAnswers => return half_of_whole_list(&state),
             AgentFault::Delayed => state = shared.changed.wait(state).unwrap(),
             AgentFault::None if state.silenced > silenced_before => return Answer::Part(Vec::new()),
             AgentFault::None => {
                 let now = Instant::now();
-                if index.is_none_or(|index| state.generation > index) || now >= until {
+                let has_news = index.is_none_or(|index| state.generation > index);
+                if has_news && std::mem::take(&mut state.breaks_off_next) {
+                    return half_of_whole_list(&state);
+                }
+                if has_news || now >= until {
+                    let index = index.filter(|_| !has_news || state.change_answer == ChangeAnswer::Changes);
                     return Answer::Bytes(response("200 OK", &list_since(&state, index)));
                 }
                 state = shared.changed.wait_timeout(state, until - now).unwrap().0;
@@ -300,6 +324,12 @@
     }
 }
 
+fn half_of_whole_list(state: &State) -> Answer {
+    let mut half = response("200 OK", &list_since(state, None));
+    half.truncate(half.len() / 2);
+    Answer::Part(half)
+}
+
 /// Returns the whole list, or the entries that have changed since a generation.
 fn list_since(state: &State, index: Option<u64>) -> String {
     let entries = state.instances.iter().zip(&state.changed_in);
--- a/tests/stale_list.rs
+++ b/tests/stale_list.rs
@@ -83,9 +83,16 @@
     }
 
     fn start_with(change: impl Fn(&mut Value)) -> Setup {
+        Setup::start_with_list(0, change)
+    }
+
+    /// Starts with this many more endpoints on the list, of other destinations.
+    fn start_with_list(others: u64, change: impl Fn(&mut Value)) -> Setup {
         let (kept, drained) = (Peer::new(|_| ok()), Peer::new(|_| ok()));
-        let listed =
+        let mut listed =
             vec![ready("kept", kept.address, DESTINATION), ready("drained", drained.address, DESTINATION)];
+        let other = |n| ready(&format!("other-{n}"), kept.address, DESTINATION + 1 + n);
+        listed.extend((0..others).map(other));
         let agent = Agent::new(listed);
         let mut node = Node::prepare(agent.address(), json!([]), |config| {
             config["settings"]["Safety"]["StopSendingWithinNs"] = json!(DRAIN_GRACE.as_nanos() as u64);
@@ -221,6 +228,32 @@
     assert_none(&failures(&cases, play));
 }
 
+/// Guards against calls to a drained endpoint while a long list, with which the open watch is answered, has
+/// fallen silent in its middle: it put off younger calls for 2.5 s, whatever the grace of drains.
+#[test]
+fn drain_is_known_when_long_list_falls_silent_in_its_middle() {
+    /// Lists of over 64 KiB are read as they come.
+    const OTHERS: u64 = 800;
+    let play = |(quiet, until_change, further): (Duration, Duration, ChangeAnswer)| {
+        let setup = Setup::start_with_list(OTHERS, |_| {});
+        let _traffic = Traffic::start(setup.node.address);
+        sleep(WARM_UP + quiet);
+        setup.agent.break_off_whole_list(further);
+        sleep(until_change);
+        let known = setup.agent.change_and_recover("drained", "Terminating");
+        setup.watch_calls(known)
+    };
+    let mut cases = Vec::new();
+    for (_, mut random) in seeds(3) {
+        let mut drawn = |range| Duration::from_millis(random.u64(range));
+        let (quiet, until_change) = (drawn(0..1_500), drawn(0..600));
+        cases.extend(
+            [ChangeAnswer::Changes, ChangeAnswer::WholeList].map(|further| (quiet, until_change, further)),
+        );
+    }
+    assert_none(&failures(&cases, play));
+}
+
 /// Guards against calls that are dropped for younger ones before a slow agent has answered any of them.
 #[test]
 fn drain_is_known_from_slow_agent() {
