Connections take turns on the event loop, however much a client sends

Cause: the runtime looks at the sockets once in 61 polls of ready tasks and hyper answers up to 16 buffered requests in each, so a thousand requests of the flood came before another client's bytes were seen. And the system worked off what the flood had sent meanwhile within the sender's calls to write, as it grows a connection's buffers to megabytes.

Change: a connection reads once and begins one request in a turn, then waits until the runtime has looked at all sockets (server/turns.rs); one that has waited for its socket waits for no turn. The listener gives its connections 64 KiB to receive and 16 KiB to send.

--- a/src/bin/sender/main.rs
+++ b/src/bin/sender/main.rs
@@ -225,6 +225,9 @@
         (None, None) => TcpListener::bind(listen).await.and_then(TcpListener::into_std),
     };
     let listener = listener.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+    if let Err(error) = socket::bound_client_buffers(&listener) {
+        tracing::warn!(%error, "cannot bound the system's buffers for clients");
+    }
     let accepting_listener =
         listener.try_clone().and_then(TcpListener::from_std).map_err(|e| format!("{listen}: {e}"))?;
     let (set_phase, phase) = watch::channel(server::Phase::Serving);
@@ -239,6 +242,7 @@
         phase,
         moved_in,
     ));
+    spawn_local(server.clone().run_turns());
     let accept_task = spawn_local(server.clone().accept(accepting_listener));
     if let Some(predecessor) = predecessor {
         handover::follow_predecessor(
--- a/src/bin/sender/server.rs
+++ b/src/bin/sender/server.rs
@@ -3,6 +3,7 @@
 mod connection_state;
 mod head_scanner;
 mod request_body;
+mod turns;
 mod validation;
 
 use crate::body::ReadError;
@@ -36,6 +37,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
+use turns::Turns;
 use validation::{MessageRequest, Validated};
 
 /// How long a connection may take from its opening to the end of its first request, from the first byte of a
@@ -75,6 +77,17 @@
     pub idle_time: Duration,
 }
 
+/// A client's connection that begins to be served.
+struct OpenedConnection {
+    socket: Socket,
+    /// Bytes of the next request that were read already.
+    buffered: Bytes,
+    /// Whether a request on the connection has been answered.
+    had_request: bool,
+    /// There are too many connections: each request is answered 503.
+    full: bool,
+}
+
 /// The HTTP server for clients.
 pub struct Server {
     /// Takes the messages of valid requests.
@@ -99,6 +112,7 @@
     handed_over: mpsc::UnboundedSender<ClientConnection>,
     connections: RefCell<HashMap<u64, Rc<ConnectionState>>>,
     next_connection_id: Cell<u64>,
+    turns: Rc<Turns>,
 }
 
 impl Server {
@@ -113,7 +127,8 @@
         phase: watch::Receiver<Phase>,
         handed_over: mpsc::UnboundedSender<ClientConnection>,
     ) -> Server {
-        let (open_connections, connection_closed, connections, next_connection_id) = Default::default();
+        let (open_connections, connection_closed, connections, next_connection_id, turns) =
+            Default::default();
         Server {
             core,
             directory,
@@ -128,9 +143,16 @@
             handed_over,
             connections,
             next_connection_id,
+            turns,
         }
     }
 
+    /// Lets connections that always have more to do take turns with the others. To be run as long as there are
+    /// connections.
+    pub async fn run_turns(self: Rc<Self>) {
+        self.turns.run().await;
+    }
+
     /// Evicts the connection with the lowest eviction rank; returns whether there was one. Clients keep
     /// connections open and some never complete a request, so without eviction the connections of a peak
     /// would use up the limit until their timeouts.
@@ -221,13 +243,17 @@
         let server = self.clone();
         let now = Instant::now();
         let last_used = now.checked_sub(client.idle_time).unwrap_or(now);
-        let state =
-            Rc::new(ConnectionState::new(last_used, !client.had_request || !client.buffered.is_empty()));
+        let socket = Socket::new(client.stream);
+        let request_started = !client.had_request || !client.buffered.is_empty();
+        let state = ConnectionState::new(self.turns.clone(), last_used, request_started);
+        let state = Rc::new(state);
         state.scan_head(&client.buffered);
         let id = self.next_connection_id.replace(self.next_connection_id.get() + 1);
         self.connections.borrow_mut().insert(id, state.clone());
         tokio::task::spawn_local(async move {
-            if let Some(client) = server.serve(client, full, &state).await {
+            let opened =
+                OpenedConnection { socket, buffered: client.buffered, had_request: client.had_request, full };
+            if let Some(client) = server.serve(opened, &state).await {
                 let _ = server.handed_over.send(client);
             }
             server.connections.borrow_mut().remove(&id);
@@ -237,15 +263,9 @@
     }
 
     /// Serves a connection until it is closed, or returns it between two requests if it is to be handed over.
-    /// If `full`, each of its requests is answered 503.
-    async fn serve(
-        &self,
-        client: ClientConnection,
-        full: bool,
-        state: &Rc<ConnectionState>,
-    ) -> Option<ClientConnection> {
-        let ClientConnection { stream, buffered, had_request, .. } = client;
-        let _ = stream.set_nodelay(true);
+    async fn serve(&self, opened: OpenedConnection, state: &Rc<ConnectionState>) -> Option<ClientConnection> {
+        let OpenedConnection { socket: writer, buffered, had_request, full } = opened;
+        let _ = writer.as_sock_ref().set_tcp_nodelay(true);
         let mut phase = self.phase.clone();
         let accepted = state.last_used.get();
         let had_request = Cell::new(had_request);
@@ -253,6 +273,7 @@
             let had_request = &had_request;
             Box::pin(async move {
                 state.unanswered.set(state.unanswered.get() + 1);
+                state.request_turn().await;
                 let since = if had_request.replace(true) { Instant::now() } else { accepted };
                 let mut response = if full {
                     unavailable(None)
@@ -272,7 +293,6 @@
             })
         });
         // Bytes that the previous process had read come first.
-        let writer = Socket::new(stream);
         let reader = ObservedReader { inner: writer.clone(), state: state.clone() };
         let io = TokioIo::new(join(Cursor::new(buffered).chain(reader), writer));
         let mut connection = Builder::new().max_buf_size(MAX_HEAD_BYTES).serve_connection(io, service);
--- a/src/bin/sender/server/connection_state.rs
+++ b/src/bin/sender/server/connection_state.rs
@@ -1,11 +1,13 @@
 //! The state of a client's connection: what has been read of its next request, and when it may be evicted.
 use super::head_scanner::HeadScanner;
+use super::turns::{LastTurn, Turns};
 use crate::socket::Socket;
 use std::cell::Cell;
+use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::sync::Notify;
@@ -26,6 +28,9 @@
     pub request_complete: Cell<bool>,
     /// What has been seen of the headers of the next request.
     pub head: Cell<HeadScanner>,
+    turns: Rc<Turns>,
+    last_read_turn: LastTurn,
+    last_request_turn: LastTurn,
     /// Requests without an answer.
     pub unanswered: Cell<u32>,
     /// The next answer is sent with `Connection: close`.
@@ -43,8 +48,11 @@
 }
 
 impl ConnectionState {
-    pub fn new(last_used: Instant, request_started: bool) -> ConnectionState {
+    pub fn new(turns: Rc<Turns>, last_used: Instant, request_started: bool) -> ConnectionState {
         ConnectionState {
+            turns,
+            last_read_turn: LastTurn::default(),
+            last_request_turn: LastTurn::default(),
             last_used: Cell::new(last_used),
             last_read: Cell::new(Instant::now()),
             request_started: Cell::new(request_started.then(Instant::now)),
@@ -60,6 +68,11 @@
         }
     }
 
+    /// Waits until this connection may begin its next request.
+    pub async fn request_turn(&self) {
+        poll_fn(|cx| self.turns.poll_take(&self.last_request_turn, cx)).await;
+    }
+
     /// Notes bytes that have been read of the next request.
     pub fn scan_head(&self, read: &[u8]) {
         let mut head = self.head.get();
@@ -112,8 +125,13 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        ready!(self.state.turns.poll_take(&self.state.last_read_turn, cx));
         let before = buf.filled().len();
         let done = Pin::new(&mut self.inner).poll_read(cx, buf);
+        if done.is_pending() {
+            self.state.last_read_turn.forget();
+            self.state.last_request_turn.forget();
+        }
         if buf.filled().len() > before {
             self.state.last_read.set(Instant::now());
             self.state.scan_head(&buf.filled()[before..]);
--- a/src/bin/sender/socket.rs
+++ b/src/bin/sender/socket.rs
@@ -7,12 +7,29 @@
 use socket2::SockRef;
 use std::io::{self, ErrorKind, IoSlice};
 use std::net::{Shutdown, SocketAddr};
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Bytes that the system keeps of what a client has sent and the sender has not read: a request of the longest
+/// kind. The system gives twice as much, for its own use.
+const CLIENT_RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+/// Bytes that the system keeps of answers that a client has not read.
+const CLIENT_SEND_BUFFER_BYTES: usize = 16 << 10;
+
+/// Bounds the buffers of the system for the connections that a listener accepts.
+///
+/// Without a bound the system grows them to megabytes for each connection. It also works off what a fast peer
+/// has sent meanwhile within a call to write, so that the time of such a call grows with the buffer.
+pub fn bound_client_buffers(listener: &impl AsFd) -> io::Result<()> {
+    let socket = SockRef::from(listener);
+    socket.set_recv_buffer_size(CLIENT_RECEIVE_BUFFER_BYTES)?;
+    socket.set_send_buffer_size(CLIENT_SEND_BUFFER_BYTES)
+}
+
 /// A TCP connection. Clones share it, so that one may read while another writes; it is closed when all are
 /// dropped.
 #[derive(Clone)]
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -658,10 +658,14 @@
         self.memory_kb("RssAnon:")
     }
 
+    /// Returns the id of the process.
+    pub fn process_id(&self) -> u32 {
+        self.child.as_ref().unwrap().id()
+    }
+
     /// Returns a figure of the process's memory by its name in `/proc/ID/status`.
     fn memory_kb(&self, name: &str) -> usize {
-        let id = self.child.as_ref().unwrap().id();
-        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.process_id())).unwrap();
         let line = status.lines().find_map(|l| l.strip_prefix(name)).expect("the status has the figure");
         line.trim().trim_end_matches(" kB").parse().unwrap()
     }
