Ended messages with long deadlines no longer push out those of others

An id could run twice when it came again: of the ended messages, of which 4,096 are kept, those that expire first were dropped. A client that hands in many messages with long deadlines so pushed out those of all others as soon as they ended, and their ids were taken for new.

Change: beyond the maximum the first that ended are dropped, also after a handover. A request comes again within a second or so, whatever its deadline, so the last that ended are those that matter. The test of the order names it anew and asks the same.

Measured: the new test of ended_messages failed before and passes, with the other unit tests of the sender.

--- a/src/bin/sender/ended_messages.rs
+++ b/src/bin/sender/ended_messages.rs
@@ -5,7 +5,7 @@
 //! new message, it would be delivered twice.
 use crate::input::Reply;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -13,7 +13,10 @@
 /// How long an ended message is kept after its deadline: a request that is sent again may state the same time
 /// to its deadline as the first one, counted from its own sending.
 const REPEAT_GRACE: Duration = Duration::from_secs(1);
-/// Maximum number of messages kept. With the longest ids they take about 2 MB.
+/// Maximum number of messages kept, the last that ended. With the longest ids they take about 2 MB.
+///
+/// A request is sent again within a second or so, whatever time to its deadline it states. So a client that
+/// states a long time for many messages must not push out those of others.
 const MAX_ENDED: usize = 4_096;
 
 /// A message that has ended, as it passes from one process to the next.
@@ -25,12 +28,23 @@
     kept_for: Duration,
 }
 
+/// What is known of one message.
+struct Entry {
+    reply: Reply,
+    expiry: Instant,
+    /// Its place in the order in which messages ended.
+    number: u64,
+}
+
 /// The messages that ended recently, each with the reply to a client that hands it in again.
 #[derive(Default)]
 pub struct EndedMessages {
-    by_trace: HashMap<Rc<str>, (Reply, Instant)>,
-    /// The same messages in the order in which they are dropped.
+    by_trace: HashMap<Rc<str>, Entry>,
+    /// The same messages in the order in which they expire.
     expiries: BTreeSet<(Instant, Rc<str>)>,
+    /// The same messages in the order in which they ended.
+    order: BTreeMap<u64, Rc<str>>,
+    next_number: u64,
 }
 
 impl EndedMessages {
@@ -43,18 +57,18 @@
 
     /// Returns the reply to a request with this trace id, if its message has ended already.
     pub fn reply_to(&self, trace_id: &str, now: Instant) -> Option<Reply> {
-        self.by_trace.get(trace_id).filter(|(_, expiry)| *expiry > now).map(|(reply, _)| *reply)
+        self.by_trace.get(trace_id).filter(|entry| entry.expiry > now).map(|entry| entry.reply)
     }
 
-    /// Converts the messages to the form in which the next process gets them.
+    /// Converts the messages to the form in which the next process gets them, the first that ended first.
     pub fn into_handover(self) -> Vec<EndedMessage> {
         let now = Instant::now();
-        let to_ended = |(trace_id, (reply, expiry)): (Rc<str>, (Reply, Instant))| EndedMessage {
-            trace_id: trace_id.to_string(),
-            reply,
-            kept_for: expiry.saturating_duration_since(now),
+        let to_ended = |trace_id: Rc<str>| {
+            let entry = self.by_trace.get(&trace_id)?;
+            let kept_for = entry.expiry.saturating_duration_since(now);
+            Some(EndedMessage { trace_id: trace_id.to_string(), reply: entry.reply, kept_for })
         };
-        self.by_trace.into_iter().map(to_ended).collect()
+        self.order.into_values().filter_map(to_ended).collect()
     }
 
     /// Restores the messages that the previous process has handed over.
@@ -69,17 +83,29 @@
 
     fn insert(&mut self, trace_id: &str, reply: Reply, expiry: Instant) {
         let trace_id: Rc<str> = trace_id.into();
-        if let Some((_, earlier)) = self.by_trace.insert(trace_id.clone(), (reply, expiry)) {
-            self.expiries.remove(&(earlier, trace_id.clone()));
+        self.remove(&trace_id);
+        let number = self.next_number;
+        self.next_number += 1;
+        self.expiries.insert((expiry, trace_id.clone()));
+        self.order.insert(number, trace_id.clone());
+        self.by_trace.insert(trace_id, Entry { reply, expiry, number });
+    }
+
+    fn remove(&mut self, trace_id: &Rc<str>) {
+        if let Some(entry) = self.by_trace.remove(trace_id) {
+            self.expiries.remove(&(entry.expiry, trace_id.clone()));
+            self.order.remove(&entry.number);
         }
-        self.expiries.insert((expiry, trace_id));
     }
 
-    /// Drops the messages whose time is over, and those that expire first if there are too many.
+    /// Drops the messages whose time is over, and the first that ended if there are too many.
     fn drop_expired(&mut self, now: Instant) {
-        while self.expiries.len() > MAX_ENDED || self.expiries.first().is_some_and(|(at, _)| *at <= now) {
-            let Some((_, trace_id)) = self.expiries.pop_first() else { return };
-            self.by_trace.remove(&trace_id);
+        while let Some((_, trace_id)) = self.expiries.first().filter(|(expiry, _)| *expiry <= now).cloned() {
+            self.remove(&trace_id);
+        }
+        while self.order.len() > MAX_ENDED {
+            let Some(trace_id) = self.order.values().next().cloned() else { return };
+            self.remove(&trace_id);
         }
     }
 }
--- a/src/bin/sender/ended_messages/tests.rs
+++ b/src/bin/sender/ended_messages/tests.rs
@@ -16,7 +16,7 @@
 }
 
 #[test]
-fn drops_messages_that_expire_first_beyond_maximum() {
+fn drops_messages_that_ended_first_beyond_maximum() {
     let now = Instant::now();
     let mut ended = EndedMessages::default();
     for number in 0..MAX_ENDED + 10 {
@@ -27,6 +27,22 @@
     assert!(ended.reply_to("10", now).is_some());
 }
 
+/// Guards against an id that runs twice: one client's messages with long deadlines pushed out those of others,
+/// which were taken for new when they came again.
+#[test]
+fn messages_with_long_deadlines_do_not_push_out_others() {
+    let now = Instant::now();
+    let mut ended = EndedMessages::default();
+    let long = now + Duration::from_secs(24 * 60 * 60);
+    for number in 0..MAX_ENDED {
+        ended.record(&format!("long-{number}"), Reply::Accepted, long);
+    }
+    ended.record("m", Reply::Accepted, now + Duration::from_secs(16));
+    ended.record("another", Reply::Accepted, long);
+    assert!(ended.reply_to("m", now).is_some());
+    assert_eq!((ended.by_trace.len(), ended.expiries.len()), (MAX_ENDED, MAX_ENDED));
+}
+
 #[test]
 fn drops_expired_messages_when_others_end() {
     let now = Instant::now();
