What was sent before a client's end is not acted upon

Cause: hyper sees the end of a connection only once it has no unread bytes of it, so while requests were buffered they were taken on, and the reply to each was given to a task that did not know that its client had left.

Change: before a message goes to the core, and again when the core replies, the connection is asked for an end, which the system tells behind unread bytes as well. A message whose client has left is not taken on, or withdrawn as before, and is not called.

--- a/src/bin/sender/core.rs
+++ b/src/bin/sender/core.rs
@@ -5,7 +5,7 @@
 use crate::directory::Directory;
 use crate::ended_messages::EndedMessages;
 use crate::first_catalogue::FirstCatalogue;
-use crate::input::{Input, MaintenanceReply, Reply};
+use crate::input::{Input, MaintenanceReply, Reply, ReplySender};
 use crate::journal::Journal;
 use crate::learned::{EndpointNumbers, Snapshot, SnapshotFile};
 use crate::list_intake::release;
@@ -63,13 +63,13 @@
 struct Submitted {
     accepted: Rc<AcceptedMessage>,
     /// More than one if the message was handed in several times in this round.
-    replies: Vec<oneshot::Sender<Reply>>,
+    replies: Vec<ReplySender>,
 }
 
 impl Submitted {
     /// Replies to the clients. Returns false if none of them waits any more.
     fn reply(self, reply: Reply) -> bool {
-        self.replies.into_iter().filter_map(|r| r.send(reply).ok()).count() > 0
+        self.replies.into_iter().map(|sender| sender.send(reply)).filter(|sent| *sent).count() > 0
     }
 }
 
@@ -786,7 +786,7 @@
         &mut self,
         mut message: AcceptedMessage,
         deadline: Instant,
-        reply: oneshot::Sender<Reply>,
+        reply: ReplySender,
         round: &mut Round,
     ) {
         if let Some(id) = self.ids_by_trace.get(&message.trace_id) {
--- a/src/bin/sender/core/tests.rs
+++ b/src/bin/sender/core/tests.rs
@@ -203,7 +203,10 @@
         body: Bytes::from_static(b"body"),
     };
     let (reply, answer) = oneshot::channel();
-    (Input::Submit { message, deadline: Instant::now() + Duration::from_secs(16), reply }, answer)
+    (
+        Input::Submit { message, deadline: Instant::now() + Duration::from_secs(16), reply: reply.into() },
+        answer,
+    )
 }
 
 async fn wait_until(what: &str, condition: impl Fn() -> bool) {
--- a/src/bin/sender/handover.rs
+++ b/src/bin/sender/handover.rs
@@ -10,7 +10,7 @@
 //! starts over from the journal. If the old one dies, its calls count as lost connections in the new one.
 use crate::client::attempt_end;
 use crate::core::HandedOverAttempts;
-use crate::input::{Input, MaintenanceReply, Reply};
+use crate::input::{Input, MaintenanceReply, Reply, ReplySender};
 use crate::owner::Owner;
 use crate::process_state::{HandoverState, RemainingWork};
 use crate::process_state_v1::StateV1;
@@ -343,7 +343,7 @@
     let mut number = 0;
     // Replies that callers wait for, by the number of their frame: at most one for each connection to this
     // process.
-    let mut submissions: HashMap<u64, oneshot::Sender<Reply>> = HashMap::new();
+    let mut submissions: HashMap<u64, ReplySender> = HashMap::new();
     let mut changes: HashMap<u64, oneshot::Sender<MaintenanceReply>> = HashMap::new();
     let mut sent = writer.send(&Frame::State(Box::new(state)), Some(listener.as_fd())).await;
     loop {
@@ -487,8 +487,9 @@
                 Frame::Submit { number, taken: mut message, body, left } => {
                     message.body = body;
                     let (reply, answer) = oneshot::channel();
-                    let _ =
-                        core.send(Input::Submit { message, deadline: Instant::now() + left, reply }).await;
+                    let _ = core
+                        .send(Input::Submit { message, deadline: Instant::now() + left, reply: reply.into() })
+                        .await;
                     let frames = frames.clone();
                     spawn_local(async move {
                         let _ = frames.send(Frame::SubmitReply { number, reply: answer.await.ok() });
--- a/src/bin/sender/input.rs
+++ b/src/bin/sender/input.rs
@@ -1,5 +1,6 @@
 //! The inputs of the core, and its replies.
 use crate::process_state::HandoverState;
+use crate::socket::WeakSocket;
 use catalogue::intake;
 use sender::api::{AttemptEnd, EndpointId, LimitReport, Outcome};
 use sender::records::{AcceptedMessage, Undelivered};
@@ -29,6 +30,31 @@
     }
 }
 
+/// Passes the reply to the client that handed in a message.
+pub struct ReplySender {
+    sender: oneshot::Sender<Reply>,
+    /// The client's connection. None if another process has it.
+    connection: Option<WeakSocket>,
+}
+
+impl ReplySender {
+    pub fn new(sender: oneshot::Sender<Reply>, connection: WeakSocket) -> ReplySender {
+        ReplySender { sender, connection: Some(connection) }
+    }
+
+    /// Replies, unless the client has left: an answer could no longer reach it. Returns whether it was there.
+    pub fn send(self, reply: Reply) -> bool {
+        let has_left = self.connection.is_some_and(|connection| connection.peer_has_left());
+        !has_left && self.sender.send(reply).is_ok()
+    }
+}
+
+impl From<oneshot::Sender<Reply>> for ReplySender {
+    fn from(sender: oneshot::Sender<Reply>) -> ReplySender {
+        ReplySender { sender, connection: None }
+    }
+}
+
 /// The reply to an operator who takes an endpoint out or puts it back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MaintenanceReply {
@@ -56,7 +82,7 @@
     Submit {
         message: AcceptedMessage,
         deadline: Instant,
-        reply: oneshot::Sender<Reply>,
+        reply: ReplySender,
     },
     /// The list of endpoints has changed, or was read as a whole.
     Catalogue(intake::LoadedList),
--- a/src/bin/sender/server.rs
+++ b/src/bin/sender/server.rs
@@ -245,7 +245,7 @@
         let last_used = now.checked_sub(client.idle_time).unwrap_or(now);
         let socket = Socket::new(client.stream);
         let request_started = !client.had_request || !client.buffered.is_empty();
-        let state = ConnectionState::new(self.turns.clone(), last_used, request_started);
+        let state = ConnectionState::new(socket.downgrade(), self.turns.clone(), last_used, request_started);
         let state = Rc::new(state);
         state.scan_head(&client.buffered);
         let id = self.next_connection_id.replace(self.next_connection_id.get() + 1);
@@ -400,7 +400,13 @@
             Err(_) => return text_response(StatusCode::REQUEST_TIMEOUT, "the body does not come"),
         };
         state.request_complete.set(true);
-        let (reply, answer) = oneshot::channel();
+        if state.client_has_left() {
+            // What was sent before a client's end is not acted upon: its answer could not reach the client.
+            tracing::debug!(trace = message.trace_id, "not taken on, as its client has left");
+            return with_connection_close(unavailable(None));
+        }
+        let (sender, answer) = oneshot::channel();
+        let reply = state.reply_sender(sender);
         if self.core.try_send(Input::Submit { message, deadline, reply }).is_err() {
             return unavailable(None);
         }
--- a/src/bin/sender/server/connection_state.rs
+++ b/src/bin/sender/server/connection_state.rs
@@ -1,7 +1,8 @@
 //! The state of a client's connection: what has been read of its next request, and when it may be evicted.
 use super::head_scanner::HeadScanner;
 use super::turns::{LastTurn, Turns};
-use crate::socket::Socket;
+use crate::input::{Reply, ReplySender};
+use crate::socket::{Socket, WeakSocket};
 use std::cell::Cell;
 use std::future::poll_fn;
 use std::io;
@@ -10,7 +11,7 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, ReadBuf};
-use tokio::sync::Notify;
+use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
 
 /// How long a connection must have been idle before it may be evicted for another client.
@@ -28,6 +29,7 @@
     pub request_complete: Cell<bool>,
     /// What has been seen of the headers of the next request.
     pub head: Cell<HeadScanner>,
+    socket: WeakSocket,
     turns: Rc<Turns>,
     last_read_turn: LastTurn,
     last_request_turn: LastTurn,
@@ -48,8 +50,14 @@
 }
 
 impl ConnectionState {
-    pub fn new(turns: Rc<Turns>, last_used: Instant, request_started: bool) -> ConnectionState {
+    pub fn new(
+        socket: WeakSocket,
+        turns: Rc<Turns>,
+        last_used: Instant,
+        request_started: bool,
+    ) -> ConnectionState {
         ConnectionState {
+            socket,
             turns,
             last_read_turn: LastTurn::default(),
             last_request_turn: LastTurn::default(),
@@ -73,6 +81,16 @@
         poll_fn(|cx| self.turns.poll_take(&self.last_request_turn, cx)).await;
     }
 
+    /// Returns whether the client has ended the connection, even if requests that it sent before are unread.
+    pub fn client_has_left(&self) -> bool {
+        self.socket.peer_has_left()
+    }
+
+    /// Returns a sender of the reply to a request.
+    pub fn reply_sender(&self, sender: oneshot::Sender<Reply>) -> ReplySender {
+        ReplySender::new(sender, self.socket.clone())
+    }
+
     /// Notes bytes that have been read of the next request.
     pub fn scan_head(&self, read: &[u8]) {
         let mut head = self.head.get();
--- a/src/bin/sender/socket.rs
+++ b/src/bin/sender/socket.rs
@@ -4,12 +4,13 @@
 //! and waits for the next event of an edge-triggered poll. If bytes or room were left, as Linux allows, that
 //! event never comes. Here a socket is empty or full only when the system says so (`EAGAIN`). An interrupted
 //! call is made again.
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use socket2::SockRef;
 use std::io::{self, ErrorKind, IoSlice};
 use std::net::{Shutdown, SocketAddr};
 use std::os::fd::AsFd;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -52,6 +53,11 @@
         Rc::into_inner(self.0)
     }
 
+    /// Returns a handle that does not keep the connection open.
+    pub fn downgrade(&self) -> WeakSocket {
+        WeakSocket(Rc::downgrade(&self.0))
+    }
+
     /// Returns the socket itself, for calls that neither read nor write.
     pub fn as_sock_ref(&self) -> SockRef<'_> {
         SockRef::from(&*self.0)
@@ -73,6 +79,22 @@
     }
 }
 
+/// A handle of a connection that does not keep it open.
+#[derive(Clone)]
+pub struct WeakSocket(Weak<TcpStream>);
+
+impl WeakSocket {
+    /// Returns whether the peer has ended the connection, even if bytes that it sent before are still unread,
+    /// or the connection is closed.
+    pub fn peer_has_left(&self) -> bool {
+        let Some(stream) = self.0.upgrade() else { return true };
+        let mut polled = [PollFd::new(&*stream, PollFlags::RDHUP)];
+        let now = Timespec { tv_sec: 0, tv_nsec: 0 };
+        // A call that fails says nothing of the peer.
+        poll(&mut polled, Some(&now)).is_ok_and(|ready| ready > 0)
+    }
+}
+
 /// Returns whether the call is to be made again, once the socket is ready.
 fn is_transient(error: &io::Error) -> bool {
     matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
