New messages for unlisted destinations leave room for those that can be sent

Cause: such a message can't be sent and stays until its deadline, so a hundred names filled the room (MaxOpen). Above nine tenths of it messages are shed only after the admission wait, and new ones came faster.

Change: above nine tenths of the room a new message whose destination has no listed endpoint is refused at the door. What was taken on earlier, also by another process, stays.

The new test of the policy and those before it pass.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,13 +5,14 @@
 //! `CONTROL_PERIOD` the cap is chosen again as the concurrency that maximises concurrency x share of the
 //! arrivals whose class meets its latency target by its mean latency + deviation. A message is sent while
 //! its destination is below the cap and is held otherwise; messages that were held too long are refused
-//! once `SHED_THRESHOLD` is reached.
+//! once the room for messages is nearly used up (`shedding`).
 //!
 //! Around this rule there are token buckets for rate limits, a circuit breaker and a slow start per route for
 //! outages, and guards that keep the effect, order and deadline of each message.
 
 mod caps;
 mod listed;
+mod shedding;
 
 use crate::api::*;
 use crate::state::*;
@@ -25,8 +26,6 @@
 const CONTROL_PERIOD: Ns = 100 * MS;
 /// The admission wait of the paper: this or 10% of the expected latency, whichever is longer.
 const MIN_ADMISSION_WAIT: Ns = 100 * MS;
-/// Share of `Settings::max_open` above which messages past their admission wait are refused.
-const SHED_THRESHOLD: f64 = 0.9;
 /// Half-life of the statistics of latency, arrivals and served calls or messages, in nanoseconds.
 pub(crate) const HALF_LIFE_NS: f64 = 3e9;
 /// Weighted count below which a statistic counts as not measured.
@@ -417,6 +416,7 @@
             self.expire_held(out);
         }
         self.dispatch(periodic, out);
+        self.refuse_new_undeliverable(events, out);
         if periodic || self.open_count >= self.settings.max_open {
             self.shed_load(out);
         }
@@ -1292,37 +1292,6 @@
         let interval = self.dests.get(&dest).map_or(0.0, |d| d.service_interval(self.now));
         (interval as Ns).min(self.settings.max_retry_after).max(MIN_ADMISSION_WAIT)
     }
-
-    /// Above the shedding threshold, refuses messages that were held for longer than the admission wait, in
-    /// ascending order of their worth.
-    fn shed_load(&mut self, out: &mut Vec<Action>) {
-        let threshold = (self.settings.max_open as f64 * SHED_THRESHOLD) as usize;
-        let excess = self.open_count.saturating_sub(threshold);
-        if excess == 0 {
-            return;
-        }
-        let mut order: Vec<(f64, MsgId)> = Vec::new();
-        for dest in self.active.iter().map(|id| &self.dests[id]) {
-            let admission_wait = MIN_ADMISSION_WAIT.max((dest.latency.mean() / 10.0) as Ns);
-            // Worth counts at the time at which the message can expect to be sent, so a message far back in a
-            // slow queue has little left: the work of a failing destination must not take the room of the
-            // others.
-            let interval = dest.service_interval(self.now);
-            for (index, &id) in dest.held.iter().enumerate() {
-                let open_message = &self.messages[&id];
-                if self.now - open_message.accepted_at > admission_wait && self.allows(open_message, None) {
-                    order.push((
-                        self.worth(open_message, self.now + ((index + 1) as f64 * interval) as Ns),
-                        id,
-                    ));
-                }
-            }
-        }
-        order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        for (_, id) in order.into_iter().take(excess) {
-            self.refuse_or_fail(id, out);
-        }
-    }
 }
 
 /// Refills a token bucket and returns when it has a token (`now` if it has one already). `rate` is in
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -114,6 +114,10 @@
     fn percentile(&self, part: usize) -> Duration {
         self.times[(self.times.len() - 1) * part / 100]
     }
+
+    fn accepted_share(&self) -> f64 {
+        self.accepted as f64 / self.times.len() as f64
+    }
 }
 
 impl fmt::Display for Answers {
@@ -224,3 +228,12 @@
 fn sound_messages_of_one_client_do_not_delay_others() {
     play_flood(|n| message("alert", &format!("flood-{n}"), DESTINATION, 16_000, b"x"));
 }
+
+/// Guards against names that keep others out: messages for destinations that nobody lists, each of its own, with
+/// the longest time.
+#[test]
+fn ever_new_destinations_do_not_keep_others_out() {
+    let request = |n| message("alert", &format!("flood-{n}"), 1_000 + n as u64, u32::MAX.into(), b"x");
+    let answers = play_flood(request);
+    assert!(answers.accepted_share() > 0.9, "refused: {answers}");
+}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -424,6 +424,23 @@
     assert_eq!(sends(&actions).len(), 1, "the slot is used");
 }
 
+/// Guards against names that keep others out: messages for destinations that nobody lists filled the room until
+/// their deadline.
+#[test]
+fn room_is_left_by_new_messages_for_unlisted_destinations() {
+    let mut harness = Harness::new(Settings { max_open: 20, ..settings() }, &[entry(1, 1, 0)]);
+    let unlisted = (0..20).map(|id| Event::Message(message(id, 100 + id, 0))).collect();
+    let shed = final_actions(&harness.handle(unlisted));
+    let ids: Vec<MsgId> =
+        shed.iter().map(|a| if let Action::Refuse { id, .. } = a { *id } else { MsgId::MAX }).collect();
+    assert_eq!(ids, [19, 18], "down to nine tenths of the room");
+    let sent = harness.submit(message(1_000, 1, 0));
+    assert_eq!(sends(&sent), [(1_000, 1)]);
+    assert!(final_actions(&sent).is_empty());
+    let resumed = Event::Resumed { message: message(2_000, 200, 0), past: Vec::new() };
+    assert!(final_actions(&harness.handle(vec![resumed])).is_empty(), "it was taken on by another process");
+}
+
 #[test]
 fn sheds_work_of_hung_destination_first() {
     let mut harness =
