One retry beside a silent long list, further ones after 2.5 s as before

Since calls followed each other at the interval while a long list made no progress.

Change: the first retry beside a silent long list still comes within the interval, which is what the bound of drains needs; further ones, and those after a list that was dropped as silent, after 2.5 s.

--- a/src/bin/sender/discovery.rs
+++ b/src/bin/sender/discovery.rs
@@ -112,7 +112,7 @@
 
     /// Returns when the next call is due. A long list that keeps coming puts it off.
     fn next_call(&self) -> Instant {
-        self.schedule.next_call(self.calls.last_list_progress())
+        self.schedule.next_call(self.calls.long_list())
     }
 
     /// Begins a call, unless a long list has put it off, or the sender was held up until now.
--- a/src/bin/sender/discovery/calls.rs
+++ b/src/bin/sender/discovery/calls.rs
@@ -40,6 +40,14 @@
     }
 }
 
+/// A long list that is coming.
+#[derive(Clone, Copy, Debug)]
+pub struct LongList {
+    pub last_progress: Instant,
+    /// Calls that are out and began since then, and long lists before it, in a row, that were dropped as silent.
+    pub retries: u32,
+}
+
 /// The calls that are out. Dropping or clearing them closes their connections.
 #[derive(Default)]
 pub struct Calls {
@@ -47,6 +55,8 @@
     calls: Vec<Call>,
     /// Counted over the process, for the log.
     last_number: u64,
+    /// Long lists that were dropped as silent since the calls were cleared.
+    silent_lists: u32,
 }
 
 impl Calls {
@@ -65,6 +75,7 @@
 
     pub fn clear(&mut self) {
         self.calls.clear();
+        self.silent_lists = 0;
     }
 
     /// Begins a call and returns its number. If there are too many, drops the second oldest one; the oldest
@@ -82,10 +93,12 @@
         self.last_number
     }
 
-    /// Returns when a long list that is coming last made progress. None if there is none.
-    pub fn last_list_progress(&self) -> Option<Instant> {
+    /// Returns the long list that is coming.
+    pub fn long_list(&self) -> Option<LongList> {
         let now = Instant::now();
-        self.calls.iter().filter_map(|call| call.last_progress(now)).max()
+        let last_progress = self.calls.iter().filter_map(|call| call.last_progress(now)).max()?;
+        let younger = self.calls.iter().filter(|call| call.begun_at > last_progress).count() as u32;
+        Some(LongList { last_progress, retries: younger + self.silent_lists })
     }
 
     /// Waits until a call has ended, and removes it; returns its number and result. Waits forever if there
@@ -121,6 +134,7 @@
             return false;
         }
         self.drop_call(other, "a younger one brings the same list");
+        self.silent_lists += 1;
         other > index
     }
 
--- a/src/bin/sender/discovery/schedule.rs
+++ b/src/bin/sender/discovery/schedule.rs
@@ -4,6 +4,7 @@
 //! A call that is out is no proof that anyone will answer it. If the youngest call has brought nothing by the
 //! time for which that was planned, a younger one is due beside it.
 use super::backoff::{Backoff, IMMEDIATE_TIMEOUT, WATCH_GRACE};
+use super::calls::LongList;
 use sender::settings::ListDelivery;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -22,7 +23,8 @@
 /// drawn, so that senders do not stay in step.
 const MIN_INTERVAL_SHARE: f64 = 0.75;
 
-/// How long a long list may make no progress, where lists are requested, before a younger call begins.
+/// How long a long list may make no progress before a younger call begins. Where lists are pushed this holds
+/// for further ones only.
 const MAX_LIST_SILENCE: Duration = Duration::from_millis(2_500);
 
 /// A timer that is late by more than this shows that the sender was held up. Answers that have come meanwhile
@@ -69,14 +71,21 @@
         CallSchedule { interval, backoff, next_call: now, immediate: true, was_put_off: false }
     }
 
-    /// Returns when the next call is due, beside those that are out. `list_progress` is when a long list that
-    /// is coming last made progress.
-    ///
-    /// The call might bring the same list once more, so it is put off as long as the list keeps coming. Where
-    /// lists are pushed, a silent list puts it off for no longer than any other call that is not answered.
-    pub fn next_call(&self, list_progress: Option<Instant>) -> Instant {
-        let allowed_silence = self.interval.unwrap_or(MAX_LIST_SILENCE);
-        list_progress.map_or(self.next_call, |progress| self.next_call.max(progress + allowed_silence))
+    /// Returns when the next call is due, beside those that are out. It might bring a long list that is coming
+    /// once more, so it is put off as long as the list keeps coming.
+    pub fn next_call(&self, long_list: Option<LongList>) -> Instant {
+        let put_off_until = |list: LongList| list.last_progress + self.allowed_silence(list.retries);
+        long_list.map_or(self.next_call, |list| self.next_call.max(put_off_until(list)))
+    }
+
+    /// Returns how long a long list may make no progress. Where lists are pushed, it puts off the first retry for
+    /// no longer than any other call that is not answered, but further ones for the full time: an agent that
+    /// is slow rather than silent would otherwise work for ever more retries, and never bring a list.
+    fn allowed_silence(&self, retries: u32) -> Duration {
+        match self.interval {
+            Some(interval) if retries == 0 => interval,
+            _ => MAX_LIST_SILENCE,
+        }
     }
 
     /// Returns how many calls may be out unanswered before discovery counts as failing. Where lists are
--- a/src/bin/sender/discovery/schedule/tests.rs
+++ b/src/bin/sender/discovery/schedule/tests.rs
@@ -149,6 +149,11 @@
     }
 }
 
+/// A long list that last made progress at this time.
+fn long_list(last_progress: Instant, retries: u32) -> Option<LongList> {
+    Some(LongList { last_progress, retries })
+}
+
 /// Guards against a long list that falls silent in its middle and hides a drain.
 #[test]
 fn silent_long_list_puts_off_pushed_call_within_grace() {
@@ -158,16 +163,26 @@
     schedule.note_list(now);
     schedule.begin_call(now);
     let planned = schedule.next_call(None);
-    assert_eq!(schedule.next_call(Some(now)), planned);
+    assert_eq!(schedule.next_call(long_list(now, 0)), planned);
     let progress = now + Duration::from_millis(100);
-    let next_call = schedule.next_call(Some(progress));
+    let next_call = schedule.next_call(long_list(progress, 0));
     assert!(next_call > planned, "a list that keeps coming puts off the call");
     assert!(next_call + MAX_STALL + APPLY_TIME <= progress + GRACE);
 }
 
+/// Guards against a slow agent that never brings a long list, as it works for ever more calls beside it.
+#[test]
+fn further_retries_beside_silent_long_list_are_put_off_longer() {
+    let now = Instant::now();
+    let schedule = pushed(GRACE, 1, now);
+    for retries in 1..4 {
+        assert_eq!(schedule.next_call(long_list(now, retries)), now + MAX_LIST_SILENCE);
+    }
+}
+
 #[test]
 fn long_list_may_be_silent_for_longer_where_lists_are_requested() {
     let now = Instant::now();
     let schedule = requested(3, 1, now);
-    assert_eq!(schedule.next_call(Some(now)), now + MAX_LIST_SILENCE);
+    assert_eq!(schedule.next_call(long_list(now, 0)), now + MAX_LIST_SILENCE);
 }
