Short messages do not wait for the memory of bodies that others leave unfinished

Beside load a sound message of one byte was answered 408 after 2.5 s while 341 peers left their bodies unfinished: it waited for memory that the others took as soon as it was freed. Bodies in blocks ask for memory more often than before, so this came with.

Change: the first block of a body (4 KiB) is counted with its connection, whose 16 KiB have room for it; only further blocks are taken from the budget of bodies.

--- a/src/bin/sender/server.rs
+++ b/src/bin/sender/server.rs
@@ -51,7 +51,7 @@
 /// buffer. The headers of a message take a few hundred bytes.
 const MAX_HEAD_BYTES: usize = 8 << 10;
 /// Memory that a connection holds beside the body of its request: its task, hyper's buffer and state, and what
-/// the allocator adds.
+/// the allocator adds. The first block of a body is part of it.
 pub const CONNECTION_BYTES: usize = 16 << 10;
 /// How long a connection may stay idle after a request.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
--- a/src/bin/sender/server/request_body.rs
+++ b/src/bin/sender/server/request_body.rs
@@ -156,8 +156,10 @@
 }
 
 impl BodyBlocks {
-    /// Appends data, for which the reservation grows by whole blocks. `expected` is the size of the body if
-    /// it is known.
+    /// Appends data. `expected` is the size of the body if it is known.
+    ///
+    /// The reservation grows by whole blocks, but for the first one, which is counted with the connection: so
+    /// short messages never wait for the memory of bodies that others do not finish.
     async fn append(
         &mut self,
         mut data: &[u8],
@@ -169,7 +171,9 @@
             if room == 0 {
                 let left = expected.map_or(BLOCK_BYTES, |whole| whole.saturating_sub(self.bytes));
                 let size = left.clamp(1, BLOCK_BYTES);
-                reservation.grow(size).await?;
+                if !self.blocks.is_empty() {
+                    reservation.grow(size).await?;
+                }
                 self.blocks.push(Vec::with_capacity(size));
                 continue;
             }
