A connection counts with all its buffers, and those answered 503 count too

Need: on reading again, the 16 KiB that counts for a connection are less than it holds: hyper keeps a buffer to write besides that to read, and since the first block of a body is part of it. Connections that are only answered 503 were not counted at all, and the numbers were reckoned in three places.

Change: ConnectionLimits derives both numbers from the descriptors and the memory, with 24 KiB for a connection, the sum of its buffers; connections get 5/16 of the memory.

--- a/src/bin/sender/config.rs
+++ b/src/bin/sender/config.rs
@@ -2,7 +2,6 @@
 //!
 //! Both are read at the start. On SIGHUP the address of discovery is read again.
 use crate::memory;
-use crate::server::CONNECTION_BYTES;
 use catalogue::intake;
 use catalogue::Catalogue;
 use sender::api::Settings;
@@ -21,12 +20,10 @@
 const BYTES_PER_MB: f64 = (1 << 20) as f64;
 /// The part of the memory limit that bodies of requests may hold, as a divisor.
 const REQUEST_BODIES_SHARE: usize = 8;
-/// The part of the memory limit that clients' connections may hold beside the bodies, as a divisor.
-const CONNECTIONS_SHARE: usize = 4;
+/// The part of the memory limit that clients' connections may hold beside the bodies.
+const CONNECTIONS_SHARE: f64 = 5.0 / 16.0;
 /// A few bodies of the maximum size.
 const MIN_REQUEST_BODIES_BYTES: usize = 4 * crate::client::MAX_BODY;
-/// Connections that clients may have however little memory there is.
-const MIN_CONNECTIONS: usize = 16;
 /// Member of the file with the last known list of endpoints.
 const KNOWN_LIST: &str = "known";
 /// Files of at most this many bytes are read on the event loop, longer ones on another thread.
@@ -50,18 +47,18 @@
     }
 
     /// Returns the memory limit, or the default one, in bytes.
-    fn memory_bytes(&self) -> usize {
-        (self.memory_mb() * BYTES_PER_MB) as usize
+    fn memory_bytes(&self) -> f64 {
+        self.memory_mb() * BYTES_PER_MB
     }
 
     /// Returns the memory that the bodies of clients' requests may hold until they are answered, in bytes.
     pub fn request_bodies_bytes(&self) -> usize {
-        (self.memory_bytes() / REQUEST_BODIES_SHARE).max(MIN_REQUEST_BODIES_BYTES)
+        (self.memory_bytes() as usize / REQUEST_BODIES_SHARE).max(MIN_REQUEST_BODIES_BYTES)
     }
 
-    /// Returns how many clients' connections there is memory for.
-    pub fn connections_in_memory(&self) -> usize {
-        (self.memory_bytes() / CONNECTIONS_SHARE / CONNECTION_BYTES).max(MIN_CONNECTIONS)
+    /// Returns the memory that clients' connections may hold beside the bodies, in bytes.
+    pub fn connections_bytes(&self) -> usize {
+        (self.memory_bytes() * CONNECTIONS_SHARE) as usize
     }
 }
 
--- a/src/bin/sender/main.rs
+++ b/src/bin/sender/main.rs
@@ -170,9 +170,8 @@
     let (core_in, inbox) = mpsc::channel(INBOX);
     let (notices_in, notices) = mpsc::unbounded_channel();
     let settings = &config.settings;
-    // Some descriptors are for the listener, the watch, notices and files. Of the rest half are for clients,
-    // a sixteenth for clients that are only answered 503, and the others for calls and idle connections to
-    // endpoints. There are fewer clients if there is memory only for fewer.
+    // Some descriptors are for the listener, the watch, notices and files. Of the rest clients get their part
+    // (`ConnectionLimits`), and the others are for calls and idle connections to endpoints.
     let sockets = config
         .limits
         .sockets
@@ -201,7 +200,7 @@
     let program_settings = config.program_settings.clone();
     let effects = settings.classes.iter().map(|c| c.effect).collect();
     let limits = config.catalogue_limits;
-    let connections_in_memory = config.limits.connections_in_memory();
+    let connection_limits = server::ConnectionLimits::new(sockets, config.limits.connections_bytes());
     let body_budget = server::BodyBudget::new(config.limits.request_bodies_bytes());
     let client = (directory.clone(), client);
     let mut core = core::Core::new(config, journal, maintenance, client, inbox, control_inbox, notices_in);
@@ -232,12 +231,11 @@
         listener.try_clone().and_then(TcpListener::from_std).map_err(|e| format!("{listen}: {e}"))?;
     let (set_phase, phase) = watch::channel(server::Phase::Serving);
     let (moved_in, moved) = mpsc::unbounded_channel();
-    let max_connections = ((sockets / 2).min(connections_in_memory), sockets.min(connections_in_memory) / 16);
     let server = Rc::new(server::Server::new(
         (core_in.clone(), directory.clone()),
         program_settings,
         effects,
-        max_connections,
+        connection_limits,
         body_budget,
         phase,
         moved_in,
--- a/src/bin/sender/server.rs
+++ b/src/bin/sender/server.rs
@@ -1,5 +1,6 @@
 //! The HTTP server for clients: accepts connections, validates requests and passes their messages to the
 //! core.
+mod connection_limits;
 mod connection_state;
 mod head_scanner;
 mod request_body;
@@ -13,6 +14,7 @@
 use crate::linger;
 use crate::socket::Socket;
 use bytes::Bytes;
+pub use connection_limits::ConnectionLimits;
 use connection_state::{ConnectionState, EvictionClass, ObservedReader};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -50,9 +52,6 @@
 /// Maximum size of a request line with its headers, and of what is read ahead of a body: hyper's smallest
 /// buffer. The headers of a message take a few hundred bytes.
 const MAX_HEAD_BYTES: usize = 8 << 10;
-/// Memory that a connection holds beside the body of its request: its task, hyper's buffer and state, and what
-/// the allocator adds. The first block of a body is part of it.
-pub const CONNECTION_BYTES: usize = 16 << 10;
 /// How long a connection may stay idle after a request.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
 /// What the server does with clients' connections.
@@ -96,13 +95,9 @@
     pub settings: ProgramSettings,
     /// The effect of each class, by the number of the class.
     pub effects: Vec<Effect>,
-    /// Maximum number of connections that are served.
-    pub max_connections: usize,
-    /// Maximum number of connections above `max_connections` that are answered 503; further ones wait to be
-    /// accepted.
-    pub max_rejected: usize,
+    limits: ConnectionLimits,
     body_budget: BodyBudget,
-    /// Number of open connections, including those above `max_connections`.
+    /// Number of open connections, including those that are only answered 503.
     pub open_connections: Cell<usize>,
     /// Notified when a connection has been closed or moved.
     pub connection_closed: Notify,
@@ -116,13 +111,11 @@
 }
 
 impl Server {
-    /// Creates a server with `max_connections` connections that are served and `max_rejected` more that are
-    /// answered 503.
     pub fn new(
         (core, directory): (mpsc::Sender<Input>, Rc<Directory>),
         settings: ProgramSettings,
         effects: Vec<Effect>,
-        (max_connections, max_rejected): (usize, usize),
+        limits: ConnectionLimits,
         body_budget: BodyBudget,
         phase: watch::Receiver<Phase>,
         handed_over: mpsc::UnboundedSender<ClientConnection>,
@@ -134,8 +127,7 @@
             directory,
             settings,
             effects,
-            max_connections,
-            max_rejected,
+            limits,
             body_budget,
             open_connections,
             connection_closed,
@@ -172,7 +164,7 @@
     /// Returns whether the limit of connections is nearly reached. Connections are then closed after each
     /// answer, as idle ones would keep other clients out.
     fn is_nearly_full(&self) -> bool {
-        self.open_connections.get() + self.max_rejected >= self.max_connections
+        self.open_connections.get() + self.limits.rejected >= self.limits.served
     }
 
     /// Accepts connections until the future is dropped or the phase changes. In the new phase connections are
@@ -180,7 +172,7 @@
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         let mut phase = self.phase.clone();
         loop {
-            let full = self.open_connections.get() >= self.max_connections + self.max_rejected.max(1);
+            let full = self.open_connections.get() >= self.limits.served + self.limits.rejected.max(1);
             let stream = tokio::select! {
                 _ = phase.wait_for(|p| *p != Phase::Serving) => return,
                 () = self.connection_closed.notified(), if full => continue,
@@ -202,7 +194,7 @@
     /// later ones are refused at once instead of waiting for the process to end. To be called after `accept`
     /// has returned.
     pub fn accept_queued_and_close(self: &Rc<Self>, listener: std::net::TcpListener) {
-        while self.open_connections.get() < self.max_connections + self.max_rejected.max(1) {
+        while self.open_connections.get() < self.limits.served + self.limits.rejected.max(1) {
             let accepted = listener.accept().and_then(|(s, _)| s.set_nonblocking(true).map(|()| s));
             match accepted.and_then(TcpStream::from_std) {
                 Ok(stream) => self.admit_new(stream),
@@ -218,7 +210,7 @@
     }
 
     fn admit_new(self: &Rc<Self>, stream: TcpStream) {
-        let full = self.open_connections.get() >= self.max_connections && !self.evict_one();
+        let full = self.open_connections.get() >= self.limits.served && !self.evict_one();
         self.admit(
             ClientConnection {
                 stream,
--- a/src/bin/sender/server/request_body.rs
+++ b/src/bin/sender/server/request_body.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 /// Size of the blocks in which a body is kept while it is read.
-const BLOCK_BYTES: usize = 4 << 10;
+pub const BLOCK_BYTES: usize = 4 << 10;
 
 /// Why the body of a request was not read.
 #[derive(Debug, Error)]
