A submission whose client has left is not passed to the next process

A request that waits in the old process of an upgrade was forwarded without asking whether its client is still there; and the core's own question at the reply had no test.

Change: ReplySender answers that question by itself; the handover asks it. A core test has a client end its connection behind unread bytes while a sync holds the reply up.

Measured: the core test fails without the question at the reply (the message is called) and passes with it. The check in the handover was not played.

--- a/src/bin/sender/core/tests.rs
+++ b/src/bin/sender/core/tests.rs
@@ -3,6 +3,7 @@
 use crate::config::{self, Sync};
 use crate::journal::JournalOptions;
 use crate::owner::Owner;
+use crate::socket::Socket;
 use bytes::Bytes;
 use serde_json::json;
 use std::cell::Cell;
@@ -13,7 +14,7 @@
 use std::sync::{Arc, Condvar, Mutex};
 use store::file_system::AppendFile;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, LocalSet};
 
 /// How long a test waits for anything at most.
@@ -192,6 +193,11 @@
 }
 
 fn submission_to(dest: u64, id: &str) -> (Input, oneshot::Receiver<Reply>) {
+    let (reply, answer) = oneshot::channel();
+    (submission_with_reply(dest, id, reply.into()), answer)
+}
+
+fn submission_with_reply(dest: u64, id: &str, reply: ReplySender) -> Input {
     let message = AcceptedMessage {
         id: 0,
         class: "order".into(),
@@ -202,11 +208,7 @@
         deadline_ms: unix_time_ms() + 16_000,
         body: Bytes::from_static(b"body"),
     };
-    let (reply, answer) = oneshot::channel();
-    (
-        Input::Submit { message, deadline: Instant::now() + Duration::from_secs(16), reply: reply.into() },
-        answer,
-    )
+    Input::Submit { message, deadline: Instant::now() + Duration::from_secs(16), reply }
 }
 
 async fn wait_until(what: &str, condition: impl Fn() -> bool) {
@@ -406,6 +408,39 @@
     });
 }
 
+/// Guards against the same if nobody has noticed that the client has left: bytes that it sent before its end
+/// are still unread.
+#[test]
+fn message_is_not_called_if_its_client_leaves_before_the_reply_with_bytes_unread() {
+    let folder = Folder::new("leaves-unread");
+    run_on_one_thread(async {
+        let (core, syncs, calls) = start_core(&folder.0).await;
+        let (input, answer) = submission("m0");
+        core.send(input).await.unwrap();
+        assert!(matches!(answer.await, Ok(Reply::Accepted)));
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        let connection = Socket::new(listener.accept().await.unwrap().0);
+        client.write_all(b"unread").await.unwrap();
+        let before = syncs.count();
+        syncs.set(Gate::Closed);
+        let (sender, answer) = oneshot::channel();
+        let reply = ReplySender::new(sender, connection.downgrade());
+        core.send(submission_with_reply(7, "m1", reply)).await.unwrap();
+        wait_until("the sync before the reply has begun", || syncs.count() > before).await;
+        drop(client);
+        syncs.set(Gate::Open);
+        assert!(answer.await.is_err(), "no reply");
+        let (input, answer) = submission("m2");
+        core.send(input).await.unwrap();
+        assert!(matches!(answer.await, Ok(Reply::Accepted)));
+        // Calls are made in order, so any call for m1 has been made by then.
+        wait_until("the other messages are delivered", || calls.get() >= 2).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(calls.get(), 2, "one call each for m0 and m2");
+    });
+}
+
 #[test]
 fn endpoint_missing_from_handover_is_called_after_first_list() {
     let folder = Folder::new("partial");
--- a/src/bin/sender/handover.rs
+++ b/src/bin/sender/handover.rs
@@ -385,6 +385,7 @@
                     ends.iter().for_each(|e| _ = attempts_in_flight.remove(&(e.id, e.attempt)));
                     sent = writer.send(&Frame::AttemptsEnded(ends), None).await;
                 }
+                Input::Submit { reply, .. } if reply.client_has_left() => {}
                 Input::Submit { message, deadline, reply } => {
                     number += 1;
                     submissions.insert(number, reply);
--- a/src/bin/sender/input.rs
+++ b/src/bin/sender/input.rs
@@ -42,10 +42,14 @@
         ReplySender { sender, connection: Some(connection) }
     }
 
-    /// Replies, unless the client has left: an answer could no longer reach it. Returns whether it was there.
+    /// Returns whether the client has left: an answer could no longer reach it.
+    pub fn client_has_left(&self) -> bool {
+        self.sender.is_closed() || self.connection.as_ref().is_some_and(WeakSocket::peer_has_left)
+    }
+
+    /// Replies, unless the client has left. Returns whether it was there.
     pub fn send(self, reply: Reply) -> bool {
-        let has_left = self.connection.is_some_and(|connection| connection.peer_has_left());
-        !has_left && self.sender.send(reply).is_ok()
+        !self.client_has_left() && self.sender.send(reply).is_ok()
     }
 }
 
