A connection may read twice in a turn, so waiting clients wait for no turn

Change: a connection has an allowance of two reads and one request in each turn (Allowance in server/turns.rs, in place of the last turn).

--- a/src/bin/sender/server/connection_state.rs
+++ b/src/bin/sender/server/connection_state.rs
@@ -1,6 +1,6 @@
 //! The state of a client's connection: what has been read of its next request, and when it may be evicted.
 use super::head_scanner::HeadScanner;
-use super::turns::{LastTurn, Turns};
+use super::turns::{Allowance, Turns};
 use crate::input::{Reply, ReplySender};
 use crate::socket::{Socket, WeakSocket};
 use std::cell::Cell;
@@ -16,6 +16,10 @@
 
 /// How long a connection must have been idle before it may be evicted for another client.
 const MIN_IDLE_BEFORE_EVICTION: Duration = Duration::from_secs(2);
+/// What a connection may do in a turn of the event loop. After a short request a second read finds the socket
+/// empty, so clients that wait for their answers never wait for a turn.
+const READS_PER_TURN: u32 = 2;
+const REQUESTS_PER_TURN: u32 = 1;
 
 /// The state of a client's connection that decides which connection is evicted when there are too many.
 pub struct ConnectionState {
@@ -31,8 +35,8 @@
     pub head: Cell<HeadScanner>,
     socket: WeakSocket,
     turns: Rc<Turns>,
-    last_read_turn: LastTurn,
-    last_request_turn: LastTurn,
+    reads: Allowance,
+    requests: Allowance,
     /// Requests without an answer.
     pub unanswered: Cell<u32>,
     /// The next answer is sent with `Connection: close`.
@@ -59,8 +63,8 @@
         ConnectionState {
             socket,
             turns,
-            last_read_turn: LastTurn::default(),
-            last_request_turn: LastTurn::default(),
+            reads: Allowance::new(READS_PER_TURN),
+            requests: Allowance::new(REQUESTS_PER_TURN),
             last_used: Cell::new(last_used),
             last_read: Cell::new(Instant::now()),
             request_started: Cell::new(request_started.then(Instant::now)),
@@ -78,7 +82,7 @@
 
     /// Waits until this connection may begin its next request.
     pub async fn request_turn(&self) {
-        poll_fn(|cx| self.turns.poll_take(&self.last_request_turn, cx)).await;
+        poll_fn(|cx| self.turns.poll_take(&self.requests, cx)).await;
     }
 
     /// Returns whether the client has ended the connection, even if requests that it sent before are unread.
@@ -143,12 +147,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        ready!(self.state.turns.poll_take(&self.state.last_read_turn, cx));
+        ready!(self.state.turns.poll_take(&self.state.reads, cx));
         let before = buf.filled().len();
         let done = Pin::new(&mut self.inner).poll_read(cx, buf);
         if done.is_pending() {
-            self.state.last_read_turn.forget();
-            self.state.last_request_turn.forget();
+            self.state.reads.renew();
+            self.state.requests.renew();
         }
         if buf.filled().len() > before {
             self.state.last_read.set(Instant::now());
--- a/src/bin/sender/server/turns.rs
+++ b/src/bin/sender/server/turns.rs
@@ -2,8 +2,8 @@
 //!
 //! A connection on which a client sends at full speed always has more to do. hyper goes on with it as long as
 //! it can, and the runtime polls a task that is ready many times before it looks at the sockets again. So a
-//! connection reads once and begins one request, and then waits for the next turn: until the runtime has
-//! looked at all sockets.
+//! connection has an allowance of reads and of requests in each turn, and then waits for the next one: until
+//! the runtime has looked at all sockets.
 use std::cell::{Cell, RefCell};
 use std::task::{Context, Poll, Waker};
 use tokio::sync::Notify;
@@ -18,22 +18,35 @@
     wanted: Notify,
 }
 
-/// The turn in which something was last done. None if its connection has waited for its socket since.
-#[derive(Default)]
-pub struct LastTurn(Cell<Option<u64>>);
+/// How often a connection may do something in a turn.
+pub struct Allowance {
+    per_turn: u32,
+    /// The turn in which it was last done. None if the connection has waited for its socket since.
+    turn: Cell<Option<u64>>,
+    /// How often it was done in that turn.
+    used: Cell<u32>,
+}
+
+impl Allowance {
+    pub fn new(per_turn: u32) -> Allowance {
+        Allowance { per_turn, turn: Cell::default(), used: Cell::default() }
+    }
 
-impl LastTurn {
     /// Notes that the connection has waited for its socket, and so for a turn.
-    pub fn forget(&self) {
-        self.0.set(None);
+    pub fn renew(&self) {
+        self.turn.set(None);
     }
 }
 
 impl Turns {
-    /// Waits for a turn other than the last one, and makes it the last one.
-    pub fn poll_take(&self, last: &LastTurn, cx: &mut Context<'_>) -> Poll<()> {
+    /// Takes from an allowance. Waits for the next turn if it is used up.
+    pub fn poll_take(&self, allowance: &Allowance, cx: &mut Context<'_>) -> Poll<()> {
         let number = self.number.get();
-        if last.0.replace(Some(number)) != Some(number) {
+        if allowance.turn.replace(Some(number)) != Some(number) {
+            allowance.used.set(0);
+        }
+        if allowance.used.get() < allowance.per_turn {
+            allowance.used.set(allowance.used.get() + 1);
             return Poll::Ready(());
         }
         self.waiting.borrow_mut().push(cx.waker().clone());
